--- /dev/null
+++ b/src/connection/connection.h
@@ -0,0 +1,12 @@
+// What lives as long as one connection: frames, messages, HTTP, sockets.
+#pragma once
+#include "control_message_codec.h" // IWYU pragma: export
+#include "control_message_type.h"  // IWYU pragma: export
+#include "frame_codec.h"           // IWYU pragma: export
+#include "framed_socket_base.h"    // IWYU pragma: export
+#include "http_client_base.h"      // IWYU pragma: export
+#include "http_codec.h"            // IWYU pragma: export
+#include "http_session_base.h"     // IWYU pragma: export
+#include "http_type.h"             // IWYU pragma: export
+#include "traffic_message_codec.h" // IWYU pragma: export
+#include "traffic_message_type.h"  // IWYU pragma: export
--- /dev/null
+++ b/src/connection/control_message_codec.cpp
@@ -0,0 +1,262 @@
+// Encodes and decodes control messages.
+#include "control_message_codec.h"
+#include "json_reader.h"
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+json
+member_to_json(const member_record& record)
+{
+  return { { "id", record.id },
+           { "inc", record.incarnation },
+           { "seq", record.sequence },
+           { "state", enum_name(record.state) },
+           { "region", record.region },
+           { "zone", record.zone },
+           { "host", record.control.host },
+           { "port", record.control.port },
+           { "traffic", record.traffic_port },
+           { "service", record.server.service },
+           { "slots", record.server.slots },
+           { "server", enum_name(record.server.state) } };
+}
+
+/** Reads a member record. */
+static leaf::result<member_record>
+parse_member(const json& value)
+{
+  if (!value.is_object()) {
+    return bad_message();
+  }
+  member_record result;
+  BOOST_LEAF_ASSIGN(result.id, read_member<std::string>(value, "id"));
+  BOOST_LEAF_ASSIGN(result.incarnation, read_member<std::uint64_t>(value, "inc"));
+  BOOST_LEAF_ASSIGN(result.sequence, read_member<std::uint64_t>(value, "seq"));
+  BOOST_LEAF_ASSIGN(result.state, read_enum<member_state>(value, "state"));
+  BOOST_LEAF_ASSIGN(result.region, read_member<std::string>(value, "region"));
+  BOOST_LEAF_ASSIGN(result.zone, read_member<std::string>(value, "zone"));
+  BOOST_LEAF_ASSIGN(result.control.host, read_member<std::string>(value, "host"));
+  BOOST_LEAF_ASSIGN(result.control.port, read_member<std::uint16_t>(value, "port"));
+  BOOST_LEAF_ASSIGN(result.traffic_port, read_member<std::uint16_t>(value, "traffic"));
+  BOOST_LEAF_ASSIGN(result.server.service, read_member<std::string>(value, "service"));
+  BOOST_LEAF_ASSIGN(result.server.slots, read_member<std::uint32_t>(value, "slots"));
+  BOOST_LEAF_ASSIGN(result.server.state, read_enum<server_state>(value, "server"));
+  return result;
+}
+
+json
+summary_to_json(const version_summary& summary)
+{
+  json counts = json::array();
+  for (const version_count& item : summary.counts) {
+    counts.push_back({ { "version", item.version }, { "nodes", item.nodes } });
+  }
+  return { { "counts", std::move(counts) }, { "lagging", summary.lagging } };
+}
+
+/** Reads a summary. */
+static leaf::result<version_summary>
+parse_summary(const json& head, const char* key)
+{
+  const auto value = head.find(key);
+  if (value == head.end() || !value->is_object()) {
+    return bad_message();
+  }
+  version_summary result;
+  BOOST_LEAF_AUTO(counts, read_array(*value, "counts"));
+  for (const json& item : *counts) {
+    if (!item.is_object()) {
+      return bad_message();
+    }
+    version_count entry;
+    BOOST_LEAF_ASSIGN(entry.version, read_member<std::uint64_t>(item, "version"));
+    BOOST_LEAF_ASSIGN(entry.nodes, read_member<std::uint64_t>(item, "nodes"));
+    result.counts.push_back(entry);
+  }
+  BOOST_LEAF_AUTO(lagging, read_array(*value, "lagging"));
+  for (const json& item : *lagging) {
+    if (!item.is_string()) {
+      return bad_message();
+    }
+    result.lagging.push_back(item.get<std::string>());
+  }
+  return result;
+}
+
+/** Fills the head of each kind of message. */
+struct control_encoder
+{
+  std::string_view payload; ///< Set for messages that carry raw bytes.
+
+  json operator()(const hello_message& message)
+  {
+    return { { "protocol", message.protocol },
+             { "sender", member_to_json(message.sender) },
+             { "members", message.members_digest } };
+  }
+  json operator()(const subscribe_message& message)
+  {
+    return { { "offset", message.offset },
+             { "chain", message.chain },
+             { "follows", message.follows } };
+  }
+  json operator()(const entries_message& message)
+  {
+    json entries = json::array();
+    for (const config_entry& entry : message.entries) {
+      entries.push_back(
+        { { "offset", entry.offset }, { "bytes", entry.bytes }, { "chain", entry.chain } });
+    }
+    return { { "entries", std::move(entries) } };
+  }
+  json operator()(const whole_message& message)
+  {
+    payload = message.bytes;
+    return json::object();
+  }
+  json operator()(const members_message& message)
+  {
+    json records = json::array();
+    for (const member_record& record : message.records) {
+      records.push_back(member_to_json(record));
+    }
+    return { { "records", std::move(records) },
+             { "is_all", message.is_all },
+             { "wants_all", message.wants_all } };
+  }
+  json operator()(const heartbeat_message& message)
+  {
+    return { { "offset", message.offset },
+             { "members", message.members_digest },
+             { "lease", message.lease_ms },
+             { "below", summary_to_json(message.below) } };
+  }
+  json operator()(const fleet_message& message)
+  {
+    return { { "fleet", summary_to_json(message.fleet) } };
+  }
+  json operator()(const goodbye_message& /*message*/) { return json::object(); }
+};
+
+std::string
+encode_control(const control_message& message)
+{
+  control_encoder encoder;
+  json head = std::visit(encoder, message);
+  head["kind"] = enum_name(kind_of(message));
+  return encode_frame(head, encoder.payload);
+}
+
+/** Reads a greeting. */
+static leaf::result<control_message>
+parse_hello(const json& head)
+{
+  hello_message result;
+  BOOST_LEAF_ASSIGN(result.protocol, read_member<std::uint64_t>(head, "protocol"));
+  if (result.protocol != PROTOCOL_VERSION) {
+    return leaf::new_error(frame_error{ frame_fault::wrong_protocol });
+  }
+  if (!head.contains("sender")) {
+    return bad_message();
+  }
+  BOOST_LEAF_ASSIGN(result.sender, parse_member(head["sender"]));
+  BOOST_LEAF_ASSIGN(result.members_digest, read_member<std::uint64_t>(head, "members"));
+  return control_message(std::move(result));
+}
+
+/** Reads a request for configuration. */
+static leaf::result<control_message>
+parse_subscribe(const json& head)
+{
+  subscribe_message result;
+  BOOST_LEAF_ASSIGN(result.offset, read_member<std::uint64_t>(head, "offset"));
+  BOOST_LEAF_ASSIGN(result.chain, read_member<std::string>(head, "chain"));
+  BOOST_LEAF_ASSIGN(result.follows, read_member<bool>(head, "follows"));
+  return control_message(std::move(result));
+}
+
+/** Reads records of the log. */
+static leaf::result<control_message>
+parse_entries(const json& head)
+{
+  entries_message result;
+  BOOST_LEAF_AUTO(entries, read_array(head, "entries"));
+  for (const json& item : *entries) {
+    if (!item.is_object()) {
+      return bad_message();
+    }
+    config_entry entry;
+    BOOST_LEAF_ASSIGN(entry.offset, read_member<std::uint64_t>(item, "offset"));
+    BOOST_LEAF_ASSIGN(entry.bytes, read_member<std::string>(item, "bytes"));
+    BOOST_LEAF_ASSIGN(entry.chain, read_member<std::string>(item, "chain"));
+    result.entries.push_back(std::move(entry));
+  }
+  return control_message(std::move(result));
+}
+
+/** Reads member records. */
+static leaf::result<control_message>
+parse_members(const json& head)
+{
+  members_message result;
+  BOOST_LEAF_ASSIGN(result.is_all, read_member<bool>(head, "is_all"));
+  BOOST_LEAF_ASSIGN(result.wants_all, read_member<bool>(head, "wants_all"));
+  BOOST_LEAF_AUTO(records, read_array(head, "records"));
+  for (const json& item : *records) {
+    BOOST_LEAF_AUTO(record, parse_member(item));
+    result.records.push_back(std::move(record));
+  }
+  return control_message(std::move(result));
+}
+
+/** Reads a heartbeat. */
+static leaf::result<control_message>
+parse_heartbeat(const json& head)
+{
+  heartbeat_message result;
+  BOOST_LEAF_ASSIGN(result.offset, read_member<std::uint64_t>(head, "offset"));
+  BOOST_LEAF_ASSIGN(result.members_digest, read_member<std::uint64_t>(head, "members"));
+  BOOST_LEAF_ASSIGN(result.lease_ms, read_member<std::int64_t>(head, "lease"));
+  BOOST_LEAF_ASSIGN(result.below, parse_summary(head, "below"));
+  return control_message(std::move(result));
+}
+
+leaf::result<control_message>
+parse_control(const frame& from)
+{
+  std::optional<frame_error> error;
+  const json head = decode_head(from.head, error);
+  if (error) {
+    return leaf::new_error(*error);
+  }
+  if (!head.is_object()) {
+    return bad_message();
+  }
+  BOOST_LEAF_AUTO(kind, read_enum<control_kind>(head, "kind"));
+  switch (kind) {
+    case control_kind::hello:
+      return parse_hello(head);
+    case control_kind::subscribe:
+      return parse_subscribe(head);
+    case control_kind::entries:
+      return parse_entries(head);
+    case control_kind::whole:
+      return control_message(whole_message{ from.payload });
+    case control_kind::members:
+      return parse_members(head);
+    case control_kind::heartbeat:
+      return parse_heartbeat(head);
+    case control_kind::fleet: {
+      BOOST_LEAF_AUTO(fleet, parse_summary(head, "fleet"));
+      return control_message(fleet_message{ std::move(fleet) });
+    }
+    case control_kind::goodbye:
+      return control_message(goodbye_message{});
+  }
+  return bad_message();
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/frame_codec.cpp
@@ -0,0 +1,101 @@
+// Cuts streams into frames and builds frames.
+#include "frame_codec.h"
+
+#include <QtEndian>
+
+namespace shallotfield {
+
+/** Bytes of the two lengths before a head. */
+static constexpr std::size_t LENGTHS_BYTES = 8;
+
+/** A msgpack reader that builds nothing and stops at the nesting limit. */
+struct depth_check
+{
+  std::size_t depth = 0; ///< Current nesting.
+  bool too_deep = false; ///< The limit was reached.
+
+  // The names of these functions are set by the library's SAX interface.
+  bool null() { return true; }
+  bool boolean(bool /*value*/) { return true; }
+  bool number_integer(std::int64_t /*value*/) { return true; }
+  bool number_unsigned(std::uint64_t /*value*/) { return true; }
+  bool number_float(double /*value*/, const std::string& /*text*/) { return true; }
+  bool string(std::string& /*value*/) { return true; }
+  bool binary(std::vector<std::uint8_t>& /*value*/) { return true; }
+  bool key(std::string& /*value*/) { return true; }
+  bool start_object(std::size_t /*items*/) { return enter(); }
+  bool start_array(std::size_t /*items*/) { return enter(); }
+  bool end_object() { return leave(); }
+  bool end_array() { return leave(); }
+  bool parse_error(std::size_t /*at*/, const std::string& /*token*/, const std::exception& /*why*/)
+  {
+    return false;
+  }
+
+private:
+  bool enter()
+  {
+    too_deep = ++depth > HEAD_DEPTH_MAX;
+    return !too_deep;
+  }
+  bool leave()
+  {
+    --depth;
+    return true;
+  }
+};
+
+std::optional<frame_error>
+frame_decoder::feed(std::string_view bytes, std::vector<frame>& frames)
+{
+  buffered_.append(bytes);
+  std::size_t at = 0;
+  while (buffered_.size() - at >= LENGTHS_BYTES) {
+    const std::size_t rest = qFromBigEndian<quint32>(buffered_.data() + at);
+    const std::size_t head = qFromBigEndian<quint32>(buffered_.data() + at + 4);
+    if (rest > limits_.frame_bytes || head > limits_.head_bytes) {
+      return frame_error{ frame_fault::too_large };
+    }
+    if (rest < 4 || head > rest - 4) {
+      return frame_error{ frame_fault::bad_length };
+    }
+    if (buffered_.size() - at < 4 + rest) {
+      break;
+    }
+    frames.push_back({ buffered_.substr(at + LENGTHS_BYTES, head),
+                       buffered_.substr(at + LENGTHS_BYTES + head, rest - 4 - head) });
+    at += 4 + rest;
+  }
+  buffered_.erase(0, at);
+  return std::nullopt;
+}
+
+std::string
+encode_frame(const nlohmann::json& head, std::string_view payload)
+{
+  std::string bytes(LENGTHS_BYTES, '\0');
+  nlohmann::json::to_msgpack(head, bytes);
+  const std::size_t head_bytes = bytes.size() - LENGTHS_BYTES;
+  bytes.append(payload);
+  qToBigEndian<quint32>(static_cast<quint32>(bytes.size() - 4), bytes.data());
+  qToBigEndian<quint32>(static_cast<quint32>(head_bytes), bytes.data() + 4);
+  return bytes;
+}
+
+nlohmann::json
+decode_head(std::string_view head, std::optional<frame_error>& error)
+{
+  using nlohmann::json;
+  depth_check check;
+  if (!json::sax_parse(head, &check, json::input_format_t::msgpack)) {
+    error = frame_error{ check.too_deep ? frame_fault::too_deep : frame_fault::bad_head };
+    return { json::value_t::discarded };
+  }
+  json value = json::from_msgpack(head, true, false);
+  if (value.is_discarded()) {
+    error = frame_error{ frame_fault::bad_head };
+  }
+  return value;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/http_client.cpp
@@ -0,0 +1,152 @@
+// A connection to a backend server.
+#include "http_client_base.h"
+
+#include <QHostAddress>
+#include <QTimer>
+
+namespace shallotfield {
+
+/** Bytes of an answer that are read ahead of the caller. */
+static constexpr qint64 READ_AHEAD_BYTES = 64 << 10;
+
+http_client::http_client(const endpoint& to, int connect_timeout_ms)
+{
+  socket_.setReadBufferSize(READ_AHEAD_BYTES);
+  QObject::connect(&socket_, &QTcpSocket::connected, &socket_, [this] {
+    is_open_ = true;
+    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    socket_.write(unsent_.data(), static_cast<qint64>(unsent_.size()));
+    unsent_.clear();
+  });
+  QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { read(); });
+  QObject::connect(&socket_, &QTcpSocket::disconnected, &socket_, [this] { end(); });
+  QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_, [this] { end(); });
+  socket_.connectToHost(QHostAddress(QString::fromStdString(to.host)), to.port);
+  QTimer::singleShot(connect_timeout_ms, &socket_, [this] {
+    if (!is_open_) {
+      end();
+    }
+  });
+}
+
+http_client::~http_client()
+{
+  has_ended_ = true;
+  socket_.disconnect();
+  socket_.abort();
+}
+
+void
+http_client::send(const request_head& head, std::string_view body)
+{
+  reader_ = std::make_unique<response_reader>(head.method == "HEAD");
+  has_head_ = false;
+  is_paused_ = false;
+  const std::string bytes = format_request(head, body);
+  if (is_open_) {
+    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  } else {
+    unsent_ = bytes;
+  }
+}
+
+void
+http_client::pause(bool is_paused)
+{
+  if (is_paused_ == is_paused || has_ended_) {
+    return;
+  }
+  is_paused_ = is_paused;
+  if (!is_paused_) {
+    QMetaObject::invokeMethod(
+      &socket_, [this] { read(); }, Qt::QueuedConnection);
+  }
+}
+
+void
+http_client::abort()
+{
+  has_ended_ = true;
+  socket_.abort();
+}
+
+void
+http_client::read()
+{
+  if (has_ended_ || is_paused_ || socket_.bytesAvailable() == 0) {
+    return;
+  }
+  const QByteArray bytes = socket_.readAll();
+  if (!reader_) {
+    end(); // Bytes that no request asked for: the connection can't be trusted.
+    return;
+  }
+  std::optional<http_fault> error;
+  response_piece piece =
+    reader_->feed({ bytes.data(), static_cast<std::size_t>(bytes.size()) }, error);
+  take(std::move(piece), error);
+}
+
+void
+http_client::take(response_piece&& piece, const std::optional<http_fault>& error)
+{
+  if (error) {
+    fail(*error == http_fault::cut ? (has_head_ ? client_failure::cut : client_failure::no_answer)
+                                   : client_failure::malformed);
+    return;
+  }
+  has_head_ = has_head_ || piece.head.has_value();
+  if (piece.is_done) {
+    reader_.reset();
+  }
+  if (piece.head || !piece.body.empty() || piece.is_done) {
+    on_piece(std::move(piece));
+  }
+}
+
+void
+http_client::end()
+{
+  if (has_ended_) {
+    return;
+  }
+  if (!is_open_) {
+    fail(client_failure::never_sent);
+    return;
+  }
+  if (!reader_) {
+    has_ended_ = true;
+    if (on_idle_end) {
+      on_idle_end();
+    }
+    return;
+  }
+  // Whatever the server sent before it closed still counts.
+  const QByteArray rest = socket_.readAll();
+  std::optional<http_fault> error;
+  response_piece piece =
+    reader_->feed({ rest.data(), static_cast<std::size_t>(rest.size()) }, error);
+  if (!error && !piece.is_done) {
+    response_piece last = reader_->feed_end(error);
+    piece.is_done = last.is_done;
+    piece.body += last.body;
+    if (last.head) {
+      piece.head = last.head;
+    }
+  }
+  piece.keep_alive = false;
+  take(std::move(piece), error);
+  has_ended_ = true;
+}
+
+void
+http_client::fail(client_failure why)
+{
+  if (!has_ended_) {
+    has_ended_ = true;
+    socket_.abort();
+    on_failed(why);
+  }
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/http_client_base.h
@@ -0,0 +1,80 @@
+// A connection to a backend server.
+#pragma once
+#include "http_codec.h"
+
+#include <QTcpSocket>
+#include <functional>
+
+namespace shallotfield {
+
+/** How a request to a server failed. */
+enum class client_failure
+{
+  never_sent, ///< No connection; nothing left this process.
+  no_answer,  ///< The connection broke before an answer began.
+  cut,        ///< The connection broke within the answer.
+  malformed,  ///< The answer can't be read.
+};
+
+inline constexpr enum_table<client_failure, 4> CLIENT_FAILURE_ROWS = { {
+  { client_failure::never_sent, "never_sent" },
+  { client_failure::no_answer, "no_answer" },
+  { client_failure::cut, "cut" },
+  { client_failure::malformed, "malformed" },
+} };
+static_assert(is_complete(CLIENT_FAILURE_ROWS, client_failure::malformed));
+
+/** @return The name table of client failures. */
+constexpr const auto&
+enum_rows(client_failure)
+{
+  return CLIENT_FAILURE_ROWS;
+}
+
+/**
+ * Sends one request at a time and never sends one twice. The answer comes in pieces; reading can be
+ * paused, which holds up the server. After on_failed, or on_idle_end, the connection is over; the
+ * owner may then delete it later, not within the callback.
+ */
+class http_client
+{
+public:
+  std::function<void(response_piece&&)> on_piece; ///< Part of the answer.
+  std::function<void(client_failure)> on_failed;  ///< The request under way failed.
+  std::function<void()> on_idle_end;              ///< The server closed an idle connection.
+
+  /** @param to The server. @param connect_timeout_ms Time for the connection to open. */
+  http_client(const endpoint& to, int connect_timeout_ms);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  /** Sends a request. @param head Its head. @param body Its body. */
+  void send(const request_head& head, std::string_view body);
+
+  /** Holds up or goes on with reading the answer. @param is_paused Whether to hold up. */
+  void pause(bool is_paused);
+
+  /** Breaks the connection; no callback follows. */
+  void abort();
+
+private:
+  /** Reads what arrived, unless paused. */
+  void read();
+  /** Hands on a part of the answer. */
+  void take(response_piece&& piece, const std::optional<http_fault>& error);
+  /** The connection ended. */
+  void end();
+  /** Tells the owner that the request failed. */
+  void fail(client_failure why);
+
+  QTcpSocket socket_;                       ///< The connection.
+  std::string unsent_;                      ///< Request that waits for the connection.
+  std::unique_ptr<response_reader> reader_; ///< Reads the answer under way.
+  bool is_open_ = false;                    ///< The connection is open.
+  bool has_head_ = false;                   ///< The answer began.
+  bool is_paused_ = false;                  ///< Reading is held up.
+  bool has_ended_ = false;                  ///< Nothing more is called.
+};
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/http_codec.cpp
@@ -0,0 +1,315 @@
+// HTTP/1.1 through Boost.Beast's parser.
+#include "http_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace shallotfield {
+
+namespace {
+
+/** A body that is handed on piece by piece. Unlike the library's string body, it reserves nothing
+ * for the length that a peer announces. */
+struct piece_body
+{
+  using value_type = std::string;
+
+  /** The library's interface to a body under way. */
+  class reader
+  {
+  public:
+    template<bool is_request, class fields>
+    reader(http::header<is_request, fields>& /*head*/, value_type& body)
+      : body_(body)
+    {
+    }
+    void init(const boost::optional<std::uint64_t>& /*length*/, beast::error_code& error)
+    {
+      error = {};
+    }
+    template<class buffers>
+    std::size_t put(const buffers& bytes, beast::error_code& error)
+    {
+      error = {};
+      std::size_t total = 0;
+      for (auto it = boost::asio::buffer_sequence_begin(bytes);
+           it != boost::asio::buffer_sequence_end(bytes);
+           ++it) {
+        const boost::asio::const_buffer piece(*it);
+        body_.append(static_cast<const char*>(piece.data()), piece.size());
+        total += piece.size();
+      }
+      return total;
+    }
+    void finish(beast::error_code& error) { error = {}; }
+
+  private:
+    value_type& body_;
+  };
+};
+
+/** Whether a header concerns one connection only. */
+bool
+is_connection_header(std::string_view name)
+{
+  static constexpr std::array<std::string_view, 9> NAMES = {
+    "connection", "keep-alive",        "proxy-connection", "te",     "trailer",
+    "upgrade",    "transfer-encoding", "content-length",   "expect",
+  };
+  return std::any_of(NAMES.begin(), NAMES.end(), [name](std::string_view candidate) {
+    return beast::iequals(candidate, name);
+  });
+}
+
+/** Copies the end-to-end headers. */
+template<class fields>
+std::vector<http_header>
+copy_headers(const fields& from)
+{
+  std::vector<http_header> headers;
+  for (const auto& field : from) {
+    const std::string_view name(field.name_string().data(), field.name_string().size());
+    if (!is_connection_header(name)) {
+      headers.push_back(
+        { std::string(name), std::string(field.value().data(), field.value().size()) });
+    }
+  }
+  return headers;
+}
+
+/** Puts bytes into a parser. @return How many it took, or nothing on an error. */
+template<class parser>
+std::optional<std::size_t>
+put_bytes(parser& target, std::string_view bytes, std::optional<http_fault>& error)
+{
+  beast::error_code code;
+  std::size_t taken = 0;
+  while (taken < bytes.size() && !target.is_done()) {
+    taken += target.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), code);
+    if (code == http::error::need_more) {
+      return taken;
+    }
+    if (code == http::error::body_limit) {
+      error = http_fault::body_too_large;
+      return std::nullopt;
+    }
+    if (code == http::error::header_limit) {
+      error = http_fault::head_too_large;
+      return std::nullopt;
+    }
+    if (code) {
+      error = http_fault::malformed;
+      return std::nullopt;
+    }
+  }
+  return taken;
+}
+
+/** Writes headers, each on a line. */
+void
+append_headers(std::string& bytes, const std::vector<http_header>& headers)
+{
+  for (const http_header& header : headers) {
+    if (!is_connection_header(header.name)) {
+      bytes += header.name;
+      bytes += ": ";
+      bytes += header.value;
+      bytes += "\r\n";
+    }
+  }
+}
+
+} // namespace
+
+const std::string*
+find_header(const std::vector<http_header>& headers, std::string_view name)
+{
+  for (const http_header& header : headers) {
+    if (beast::iequals(header.name, name)) {
+      return &header.value;
+    }
+  }
+  return nullptr;
+}
+
+struct request_reader::parser_state
+{
+  http::request_parser<piece_body> parser;
+};
+
+request_reader::request_reader(std::uint64_t body_limit)
+  : body_limit_(body_limit)
+{
+  restart();
+}
+
+request_reader::~request_reader() = default;
+
+void
+request_reader::restart()
+{
+  parser_ = std::make_unique<parser_state>();
+  parser_->parser.eager(true);
+  parser_->parser.body_limit(body_limit_);
+  parser_->parser.header_limit(HTTP_HEAD_BYTES_MAX);
+}
+
+std::optional<whole_request>
+request_reader::feed(std::string_view bytes, std::optional<http_fault>& error)
+{
+  buffered_.append(bytes);
+  auto& parser = parser_->parser;
+  const std::optional<std::size_t> taken = put_bytes(parser, buffered_, error);
+  if (!taken) {
+    return std::nullopt;
+  }
+  buffered_.erase(0, *taken);
+  if (!parser.is_done()) {
+    return std::nullopt;
+  }
+  whole_request request;
+  request.head.method = std::string(parser.get().method_string());
+  request.head.target = std::string(parser.get().target());
+  request.head.headers = copy_headers(parser.get());
+  request.body = std::move(parser.get().body());
+  request.keep_alive = parser.keep_alive();
+  restart();
+  return request;
+}
+
+struct response_reader::parser_state
+{
+  http::response_parser<piece_body> parser;
+  bool head_told = false; ///< The head was handed on.
+};
+
+response_reader::response_reader(bool is_head_request)
+  : parser_(std::make_unique<parser_state>())
+{
+  parser_->parser.eager(true);
+  parser_->parser.skip(is_head_request);
+  parser_->parser.header_limit(HTTP_HEAD_BYTES_MAX);
+  parser_->parser.body_limit(boost::none);
+}
+
+response_reader::~response_reader() = default;
+
+/** Collects what a parser has that was not handed on. */
+template<class state>
+static response_piece
+take_piece(state& from)
+{
+  response_piece piece;
+  if (from.parser.is_header_done() && !from.head_told) {
+    from.head_told = true;
+    piece.head = response_head{ from.parser.get().result_int(), copy_headers(from.parser.get()) };
+    if (const auto length = from.parser.content_length()) {
+      piece.head->headers.push_back({ "Content-Length", std::to_string(*length) });
+    }
+  }
+  piece.body.swap(from.parser.get().body());
+  piece.is_done = from.parser.is_done();
+  piece.keep_alive = piece.is_done && from.parser.keep_alive();
+  return piece;
+}
+
+response_piece
+response_reader::feed(std::string_view bytes, std::optional<http_fault>& error)
+{
+  buffered_.append(bytes);
+  const std::optional<std::size_t> taken = put_bytes(parser_->parser, buffered_, error);
+  if (!taken) {
+    return {};
+  }
+  buffered_.erase(0, *taken);
+  response_piece piece = take_piece(*parser_);
+  piece.keep_alive = piece.keep_alive && buffered_.empty();
+  return piece;
+}
+
+response_piece
+response_reader::feed_end(std::optional<http_fault>& error)
+{
+  beast::error_code code;
+  if (!parser_->parser.got_some()) {
+    error = http_fault::cut;
+    return {};
+  }
+  parser_->parser.put_eof(code);
+  if (code) {
+    error = http_fault::cut;
+    return {};
+  }
+  response_piece piece = take_piece(*parser_);
+  piece.keep_alive = false;
+  return piece;
+}
+
+std::string
+format_request(const request_head& head, std::string_view body)
+{
+  std::string bytes = head.method + " " + head.target + " HTTP/1.1\r\n";
+  append_headers(bytes, head.headers);
+  const bool has_length = !body.empty() || (head.method != "GET" && head.method != "HEAD");
+  if (has_length) {
+    bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  bytes += "\r\n";
+  bytes.append(body);
+  return bytes;
+}
+
+bool
+may_have_body(unsigned status)
+{
+  static constexpr unsigned NO_CONTENT = 204;
+  static constexpr unsigned NOT_MODIFIED = 304;
+  return status != NO_CONTENT && status != NOT_MODIFIED;
+}
+
+std::string
+format_response_head(const response_head& head, bool keep_alive)
+{
+  std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + " ";
+  bytes += std::string(http::obsolete_reason(static_cast<http::status>(head.status)));
+  bytes += "\r\n";
+  append_headers(bytes, head.headers);
+  const std::string* length = find_header(head.headers, "Content-Length");
+  if (length != nullptr) {
+    bytes += "Content-Length: " + *length + "\r\n";
+  } else if (may_have_body(head.status)) {
+    bytes += "Transfer-Encoding: chunked\r\n";
+  }
+  bytes += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
+  return bytes;
+}
+
+std::string
+format_chunk(std::string_view body)
+{
+  static constexpr std::string_view HEX = "0123456789abcdef";
+  std::string size;
+  for (std::size_t rest = body.size(); rest > 0; rest /= HEX.size()) {
+    size.insert(size.begin(), HEX[rest % HEX.size()]);
+  }
+  return size + "\r\n" + std::string(body) + "\r\n";
+}
+
+std::string
+format_response(unsigned status,
+                const std::vector<http_header>& headers,
+                std::string_view body,
+                bool keep_alive)
+{
+  response_head head{ status, headers };
+  head.headers.push_back({ "Content-Length", std::to_string(body.size()) });
+  return format_response_head(head, keep_alive) + std::string(body);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/traffic_message_codec.cpp
@@ -0,0 +1,236 @@
+// Encodes and decodes traffic messages.
+#include "traffic_message_codec.h"
+#include "json_reader.h"
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+/** Writes headers as a flat list of names and values. */
+static json
+headers_to_json(const std::vector<http_header>& headers)
+{
+  json list = json::array();
+  for (const http_header& header : headers) {
+    list.push_back(header.name);
+    list.push_back(header.value);
+  }
+  return list;
+}
+
+/** Reads a flat list of names and values. */
+static leaf::result<std::vector<http_header>>
+parse_headers(const json& head)
+{
+  BOOST_LEAF_AUTO(list, read_array(head, "headers"));
+  if (list->size() % 2 != 0) {
+    return bad_message();
+  }
+  std::vector<http_header> headers;
+  for (std::size_t i = 0; i < list->size(); i += 2) {
+    if (!(*list)[i].is_string() || !(*list)[i + 1].is_string()) {
+      return bad_message();
+    }
+    headers.push_back({ (*list)[i].get<std::string>(), (*list)[i + 1].get<std::string>() });
+  }
+  return headers;
+}
+
+/** Writes a load report. */
+static json
+load_to_json(const load_report& load)
+{
+  return { load.running, load.waiting, load.slots };
+}
+
+/** Reads a load report. */
+static leaf::result<load_report>
+parse_load(const json& head)
+{
+  BOOST_LEAF_AUTO(list, read_array(head, "load"));
+  const bool is_valid =
+    list->size() == 3 && std::all_of(list->begin(), list->end(), [](const json& item) {
+      return item.is_number_unsigned() && item.get<std::uint64_t>() <= UINT32_MAX;
+    });
+  if (!is_valid) {
+    return bad_message();
+  }
+  return load_report{ (*list)[0].get<std::uint32_t>(),
+                      (*list)[1].get<std::uint32_t>(),
+                      (*list)[2].get<std::uint32_t>() };
+}
+
+/** Fills the head of each kind of message. */
+struct traffic_encoder
+{
+  std::string_view payload; ///< Set for messages that carry raw bytes.
+
+  json operator()(const call_open& message)
+  {
+    payload = message.body;
+    return { { "id", message.id },
+             { "method", message.head.method },
+             { "target", message.head.target },
+             { "headers", headers_to_json(message.head.headers) },
+             { "service", message.service },
+             { "class", enum_name(message.kind) },
+             { "idempotent", message.is_idempotent },
+             { "key", message.key },
+             { "customer", message.customer },
+             { "region", message.region },
+             { "timeout", message.timeout_ms },
+             { "version", message.version },
+             { "window", message.window_bytes } };
+  }
+  json operator()(const call_cancel& message) { return { { "id", message.id } }; }
+  json operator()(const call_credit& message)
+  {
+    return { { "id", message.id }, { "bytes", message.bytes } };
+  }
+  json operator()(const answer_head& message)
+  {
+    return { { "id", message.id },
+             { "status", message.head.status },
+             { "headers", headers_to_json(message.head.headers) },
+             { "load", load_to_json(message.load) } };
+  }
+  json operator()(const answer_data& message)
+  {
+    payload = message.bytes;
+    return { { "id", message.id } };
+  }
+  json operator()(const answer_end& message)
+  {
+    return { { "id", message.id },
+             { "total", message.total_bytes },
+             { "load", load_to_json(message.load) } };
+  }
+  json operator()(const call_refused& message)
+  {
+    return { { "id", message.id },
+             { "reason", enum_name(message.reason) },
+             { "outcome", enum_name(message.result) },
+             { "retry_after", message.retry_after_ms },
+             { "load", load_to_json(message.load) } };
+  }
+  json operator()(const key_query& message)
+  {
+    return { { "id", message.id }, { "key", message.key } };
+  }
+  json operator()(const key_reply& message)
+  {
+    return { { "id", message.id }, { "claim", enum_name(message.claim) } };
+  }
+};
+
+std::string
+encode_traffic(const traffic_message& message)
+{
+  traffic_encoder encoder;
+  json head = std::visit(encoder, message);
+  head["kind"] = enum_name(kind_of(message));
+  return encode_frame(head, encoder.payload);
+}
+
+/** Reads a request. */
+static leaf::result<traffic_message>
+parse_call_open(const json& head, call_id id, std::string&& payload)
+{
+  call_open result;
+  result.id = id;
+  BOOST_LEAF_ASSIGN(result.head.method, read_member<std::string>(head, "method"));
+  BOOST_LEAF_ASSIGN(result.head.target, read_member<std::string>(head, "target"));
+  BOOST_LEAF_ASSIGN(result.head.headers, parse_headers(head));
+  BOOST_LEAF_ASSIGN(result.service, read_member<std::string>(head, "service"));
+  BOOST_LEAF_ASSIGN(result.kind, read_enum<work_class>(head, "class"));
+  BOOST_LEAF_ASSIGN(result.is_idempotent, read_member<bool>(head, "idempotent"));
+  BOOST_LEAF_ASSIGN(result.key, read_member<std::string>(head, "key"));
+  BOOST_LEAF_ASSIGN(result.customer, read_member<std::string>(head, "customer"));
+  BOOST_LEAF_ASSIGN(result.region, read_member<std::string>(head, "region"));
+  BOOST_LEAF_ASSIGN(result.timeout_ms, read_member<std::int64_t>(head, "timeout"));
+  BOOST_LEAF_ASSIGN(result.version, read_member<std::uint64_t>(head, "version"));
+  BOOST_LEAF_ASSIGN(result.window_bytes, read_member<std::int64_t>(head, "window"));
+  result.body = std::move(payload);
+  return traffic_message(std::move(result));
+}
+
+/** Reads the start of an answer. */
+static leaf::result<traffic_message>
+parse_answer_head(const json& head, call_id id)
+{
+  answer_head result;
+  result.id = id;
+  BOOST_LEAF_ASSIGN(result.head.status, read_member<unsigned>(head, "status"));
+  BOOST_LEAF_ASSIGN(result.head.headers, parse_headers(head));
+  BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  return traffic_message(std::move(result));
+}
+
+/** Reads the end of an answer. */
+static leaf::result<traffic_message>
+parse_answer_end(const json& head, call_id id)
+{
+  answer_end result;
+  result.id = id;
+  BOOST_LEAF_ASSIGN(result.total_bytes, read_member<std::uint64_t>(head, "total"));
+  BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  return traffic_message(result);
+}
+
+/** Reads a refusal. */
+static leaf::result<traffic_message>
+parse_call_refused(const json& head, call_id id)
+{
+  call_refused result;
+  result.id = id;
+  BOOST_LEAF_ASSIGN(result.reason, read_enum<refusal>(head, "reason"));
+  BOOST_LEAF_ASSIGN(result.result, read_enum<outcome>(head, "outcome"));
+  BOOST_LEAF_ASSIGN(result.retry_after_ms, read_member<std::int64_t>(head, "retry_after"));
+  BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  return traffic_message(result);
+}
+
+leaf::result<traffic_message>
+parse_traffic(frame&& from)
+{
+  std::optional<frame_error> error;
+  const json head = decode_head(from.head, error);
+  if (error) {
+    return leaf::new_error(*error);
+  }
+  if (!head.is_object()) {
+    return bad_message();
+  }
+  BOOST_LEAF_AUTO(kind, read_enum<traffic_kind>(head, "kind"));
+  BOOST_LEAF_AUTO(id, read_member<call_id>(head, "id"));
+  switch (kind) {
+    case traffic_kind::call_open:
+      return parse_call_open(head, id, std::move(from.payload));
+    case traffic_kind::call_cancel:
+      return traffic_message(call_cancel{ id });
+    case traffic_kind::call_credit: {
+      BOOST_LEAF_AUTO(bytes, read_member<std::int64_t>(head, "bytes"));
+      return traffic_message(call_credit{ id, bytes });
+    }
+    case traffic_kind::answer_head:
+      return parse_answer_head(head, id);
+    case traffic_kind::answer_data:
+      return traffic_message(answer_data{ id, std::move(from.payload) });
+    case traffic_kind::answer_end:
+      return parse_answer_end(head, id);
+    case traffic_kind::call_refused:
+      return parse_call_refused(head, id);
+    case traffic_kind::key_query: {
+      BOOST_LEAF_AUTO(key, read_member<std::string>(head, "key"));
+      return traffic_message(key_query{ id, std::move(key) });
+    }
+    case traffic_kind::key_reply: {
+      BOOST_LEAF_AUTO(claim, read_enum<key_claim>(head, "claim"));
+      return traffic_message(key_reply{ id, claim });
+    }
+  }
+  return bad_message();
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/log_client.cpp
@@ -0,0 +1,152 @@
+// Client of the platform's log service, over HTTP.
+#include "log_client_base.h"
+
+#include <QByteArray>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QUrl>
+#include <nlohmann/json.hpp>
+
+namespace shallotfield {
+
+static constexpr int HTTP_OK = 200;
+static constexpr int HTTP_CLIENT_ERROR = 400;
+static constexpr int HTTP_SERVER_ERROR = 500;
+static constexpr int HTTP_UNAVAILABLE = 503;
+
+/** Reads an unsigned member; nothing if it is absent or no unsigned number. */
+static std::optional<std::uint64_t>
+unsigned_member(const nlohmann::json& object, const char* key)
+{
+  const auto value = object.find(key);
+  if (value == object.end() || !value->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return value->get<std::uint64_t>();
+}
+
+/** Reads one record; nothing if it is malformed. */
+static std::optional<log_record>
+parse_log_record(const nlohmann::json& item)
+{
+  if (!item.is_object()) {
+    return std::nullopt;
+  }
+  const auto offset = unsigned_member(item, "offset");
+  const auto data = item.find("data");
+  if (!offset || data == item.end() || !data->is_string()) {
+    return std::nullopt;
+  }
+  const auto decoded = QByteArray::fromBase64Encoding(
+    QByteArray::fromStdString(data->get<std::string>()),
+    QByteArray::Base64Encoding | QByteArray::AbortOnBase64DecodingErrors);
+  if (!decoded) {
+    return std::nullopt;
+  }
+  return log_record{ *offset, decoded.decoded.toStdString() };
+}
+
+log_answer
+parse_log_page(const std::string& body)
+{
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+  if (!answer.is_object()) {
+    return log_fault::malformed;
+  }
+  const auto first = unsigned_member(answer, "first");
+  const auto next = unsigned_member(answer, "next");
+  const auto records = answer.find("records");
+  if (!first || !next || records == answer.end() || !records->is_array()) {
+    return log_fault::malformed;
+  }
+  log_page page{ *first, *next, {} };
+  for (const nlohmann::json& item : *records) {
+    std::optional<log_record> record = parse_log_record(item);
+    const bool follows =
+      record && (page.records.empty() || record->offset == page.records.back().offset + 1);
+    if (!follows || record->offset < page.first || record->offset >= page.next) {
+      return log_fault::malformed;
+    }
+    page.records.push_back(std::move(*record));
+  }
+  return page;
+}
+
+/** Parses the answer to an append. */
+static log_answer
+parse_appended(const std::string& body)
+{
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+  const auto offset =
+    answer.is_object() ? unsigned_member(answer, "offset") : std::optional<std::uint64_t>();
+  if (!offset) {
+    return log_fault::no_answer; // It was written, but where is not known.
+  }
+  return log_appended{ *offset };
+}
+
+/** Tells how a reply that isn't a plain success failed. */
+static log_fault
+classify_failure(const QNetworkReply& reply, int status)
+{
+  const bool is_client_error = status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR;
+  if (is_client_error || status == HTTP_UNAVAILABLE) {
+    return log_fault::refused;
+  }
+  switch (reply.error()) {
+    case QNetworkReply::ConnectionRefusedError:
+    case QNetworkReply::HostNotFoundError:
+      return log_fault::unreachable;
+    default:
+      return log_fault::no_answer;
+  }
+}
+
+log_client::log_client(std::string base_url, std::int64_t timeout_ms)
+  : base_url_(std::move(base_url))
+  , timeout_ms_(timeout_ms)
+{
+}
+
+void
+log_client::watch(QNetworkReply* reply,
+                  const std::function<log_answer(const std::string&)>& parse,
+                  const handler& done)
+{
+  QObject::connect(reply, &QNetworkReply::finished, reply, [reply, parse, done] {
+    reply->deleteLater();
+    const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (reply->error() == QNetworkReply::NoError && status == HTTP_OK) {
+      done(parse(reply->readAll().toStdString()));
+    } else {
+      done(classify_failure(*reply, status));
+    }
+  });
+}
+
+void
+log_client::read(log_stream stream,
+                 std::uint64_t from,
+                 std::uint64_t limit,
+                 std::int64_t wait_ms,
+                 handler done)
+{
+  const std::string url = base_url_ + "/streams/" + std::string(enum_name(stream)) +
+                          "/records?from=" + std::to_string(from) +
+                          "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait_ms);
+  QNetworkRequest request(QUrl(QString::fromStdString(url)));
+  request.setTransferTimeout(static_cast<int>(timeout_ms_ + wait_ms));
+  watch(manager_.get(request), parse_log_page, done);
+}
+
+void
+log_client::append(log_stream stream, const std::string& bytes, handler done)
+{
+  const std::string url = base_url_ + "/streams/" + std::string(enum_name(stream)) + "/records";
+  QNetworkRequest request(QUrl(QString::fromStdString(url)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/octet-stream");
+  request.setTransferTimeout(static_cast<int>(timeout_ms_));
+  watch(manager_.post(request, QByteArray::fromStdString(bytes)), parse_appended, done);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/log_client_type.h
@@ -0,0 +1,81 @@
+// Calls to the platform's log service and what comes back.
+#pragma once
+#include "enum_table.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace shallotfield {
+
+/** The streams that are kept on the log service. */
+enum class log_stream
+{
+  config,    ///< Proposals by operators.
+  snapshots, ///< Snapshots of what the proposals came to.
+};
+
+inline constexpr enum_table<log_stream, 2> LOG_STREAM_ROWS = { {
+  { log_stream::config, "config" },
+  { log_stream::snapshots, "snapshots" },
+} };
+static_assert(is_complete(LOG_STREAM_ROWS, log_stream::snapshots));
+
+/** @return The name table of streams. */
+constexpr const auto&
+enum_rows(log_stream)
+{
+  return LOG_STREAM_ROWS;
+}
+
+/** How a call to the log service failed. */
+enum class log_fault
+{
+  unreachable, ///< No connection; nothing was written.
+  refused,     ///< The service answered that it did not do it.
+  no_answer,   ///< The answer is missing; a write may have taken effect.
+  malformed,   ///< The answer can't be read.
+};
+
+inline constexpr enum_table<log_fault, 4> LOG_FAULT_ROWS = { {
+  { log_fault::unreachable, "unreachable" },
+  { log_fault::refused, "refused" },
+  { log_fault::no_answer, "no_answer" },
+  { log_fault::malformed, "malformed" },
+} };
+static_assert(is_complete(LOG_FAULT_ROWS, log_fault::malformed));
+
+/** @return The name table of log faults. */
+constexpr const auto&
+enum_rows(log_fault)
+{
+  return LOG_FAULT_ROWS;
+}
+
+/** One record as the log service holds it. */
+struct log_record
+{
+  std::uint64_t offset = 0; ///< Position in the stream; the first record ever has 1.
+  std::string bytes;        ///< Content.
+  bool operator==(const log_record&) const = default;
+};
+
+/** A piece of a stream. */
+struct log_page
+{
+  std::uint64_t first = 0;         ///< Oldest offset that the service still holds.
+  std::uint64_t next = 0;          ///< Offset that the next append gets.
+  std::vector<log_record> records; ///< Records from the offset asked for, without gaps.
+};
+
+/** Confirms an append. */
+struct log_appended
+{
+  std::uint64_t offset = 0; ///< Offset of the new record.
+};
+
+/** The outcome of a call to the log service. */
+using log_answer = std::variant<log_page, log_appended, log_fault>;
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,176 @@
+// How member records replace each other.
+#include "membership_base.h"
+
+#include <boost/container_hash/hash.hpp>
+#include <tuple>
+
+namespace shallotfield {
+
+/** A tombstone outlives every update that may still be on its way, partitions included. */
+static constexpr unix_ms TOMBSTONE_KEPT_MS = 24LL * 3600 * 1000;
+
+bool
+is_newer(const member_record& candidate, const member_record& held)
+{
+  const auto rank = [](const member_record& record) {
+    return std::tuple(record.incarnation, record.sequence, record.state == member_state::gone);
+  };
+  return rank(candidate) > rank(held);
+}
+
+bool
+is_tombstone(const member_record& record)
+{
+  return record.state == member_state::gone || record.state == member_state::left;
+}
+
+/** Whether a record's node has a server that may run requests now. */
+static bool
+has_live_server(const member_record& record)
+{
+  return record.state == member_state::alive &&
+         (record.server.state == server_state::ready || record.server.state == server_state::cold);
+}
+
+membership::membership(member_record own, instant now)
+  : own_id_(own.id)
+{
+  store(own, now);
+}
+
+void
+membership::store(const member_record& record, instant now)
+{
+  const auto held = records_.find(record.id);
+  const bool was_live = held != records_.end() && has_live_server(held->second) &&
+                        held->second.incarnation == record.incarnation &&
+                        held->second.server.service == record.server.service;
+  if (has_live_server(record)) {
+    if (!was_live) {
+      live_since_[record.id] = now.unix;
+    }
+    left_at_.erase(record.id);
+  } else if (!record.server.service.empty()) {
+    left_at_.try_emplace(record.id, now.unix);
+    live_since_.erase(record.id);
+  }
+  if (is_tombstone(record)) {
+    gone_since_[record.id] = now.unix;
+  } else {
+    gone_since_.erase(record.id);
+  }
+  records_.insert_or_assign(record.id, record);
+}
+
+std::optional<member_record>
+membership::merge(const member_record& record, instant now)
+{
+  const auto held = records_.find(record.id);
+  if (held != records_.end() && !is_newer(record, held->second)) {
+    return std::nullopt;
+  }
+  if (record.id == own_id_) {
+    if (record.incarnation > held->second.incarnation) {
+      return std::nullopt; // Another process runs under this name; the newer one keeps it.
+    }
+    member_record refuted = held->second;
+    refuted.sequence = record.sequence + 1;
+    store(refuted, now);
+    note_own_return(now); // Others may have run its keys while they took it for gone.
+    return refuted;
+  }
+  store(record, now);
+  return record;
+}
+
+std::optional<member_record>
+membership::mark_gone(const node_id& id, instant now)
+{
+  const auto held = records_.find(id);
+  if (id == own_id_ || held == records_.end() || is_tombstone(held->second)) {
+    return std::nullopt;
+  }
+  member_record tombstone = held->second;
+  tombstone.state = member_state::gone;
+  store(tombstone, now);
+  return tombstone;
+}
+
+std::optional<member_record>
+membership::update_own(member_state state, const server_card& server, instant now)
+{
+  member_record record = own();
+  if (record.state == state && record.server == server) {
+    return std::nullopt;
+  }
+  record.state = state;
+  record.server = server;
+  ++record.sequence;
+  store(record, now);
+  return record;
+}
+
+void
+membership::note_own_return(instant now)
+{
+  if (live_since_.contains(own_id_)) {
+    live_since_[own_id_] = now.unix;
+  }
+}
+
+void
+membership::drop_old_tombstones(instant now)
+{
+  for (auto it = gone_since_.begin(); it != gone_since_.end();) {
+    if (now.unix - it->second > TOMBSTONE_KEPT_MS) {
+      records_.erase(it->first);
+      left_at_.erase(it->first);
+      it = gone_since_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+const member_record&
+membership::own() const
+{
+  return records_.at(own_id_);
+}
+
+std::uint64_t
+membership::digest() const
+{
+  std::uint64_t total = 0;
+  for (const auto& [id, record] : records_) {
+    std::size_t seed = 0;
+    boost::hash_combine(seed, id);
+    boost::hash_combine(seed, record.incarnation);
+    boost::hash_combine(seed, record.sequence);
+    boost::hash_combine(seed, static_cast<int>(record.state));
+    total ^= seed;
+  }
+  return total;
+}
+
+member_view_ptr
+membership::build_view() const
+{
+  auto view = std::make_shared<member_view>();
+  view->members = records_;
+  for (const auto& [id, record] : view->members) {
+    if (record.server.service.empty()) {
+      continue;
+    }
+    service_members& members = view->services[record.server.service];
+    if (has_live_server(record)) {
+      members.servers.push_back(&record);
+      members.live_since[id] = live_since_.at(id);
+    } else {
+      members.left_at[id] = left_at_.at(id);
+    }
+  }
+  return view;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/process.h
@@ -0,0 +1,14 @@
+// What lives as long as the process: settings, logs, metrics, clocks, membership, platform client.
+#pragma once
+#include "clock_type.h"      // IWYU pragma: export
+#include "enum_table.h"      // IWYU pragma: export
+#include "log_client_base.h" // IWYU pragma: export
+#include "log_client_type.h" // IWYU pragma: export
+#include "log_func.h"        // IWYU pragma: export
+#include "log_type.h"        // IWYU pragma: export
+#include "member_type.h"     // IWYU pragma: export
+#include "membership_base.h" // IWYU pragma: export
+#include "metrics_func.h"    // IWYU pragma: export
+#include "metrics_type.h"    // IWYU pragma: export
+#include "settings_func.h"   // IWYU pragma: export
+#include "settings_type.h"   // IWYU pragma: export
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,173 @@
+// Reads and checks settings.
+#include "settings_func.h"
+#include "table/settings_table.h"
+
+#include <QHostAddress>
+#include <QUrl>
+#include <boost/leaf/error.hpp>
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** A setting that is text and has no default. */
+struct text_row
+{
+  std::string_view key;          ///< Name in the file.
+  std::string settings::*member; ///< Where the value is kept.
+};
+
+static constexpr std::array<text_row, 6> TEXT_ROWS = { {
+  { "node_id", &settings::node_id },
+  { "region", &settings::region },
+  { "zone", &settings::zone },
+  { "host", &settings::host },
+  { "log_url", &settings::log_url },
+  { "operators_token", &settings::operators_token },
+} };
+
+/** Builds the error for a key. */
+static leaf::error_id
+refuse(std::string_view key, setting_fault fault)
+{
+  return leaf::new_error(setting_error{ std::string(key), fault });
+}
+
+std::optional<endpoint>
+parse_endpoint(std::string_view text)
+{
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  endpoint result{ std::string(text.substr(0, colon)), 0 };
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [end, fault] =
+    std::from_chars(digits.data(), digits.data() + digits.size(), result.port);
+  const bool is_port = fault == std::errc{} && end == digits.data() + digits.size();
+  if (!is_port || result.port == 0 || QHostAddress(QString::fromStdString(result.host)).isNull()) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+/** Whether a key is one that the file may have. */
+static bool
+is_known_key(std::string_view key)
+{
+  const auto same_key = [key](const auto& row) { return row.key == key; };
+  return key == "seeds" || std::any_of(TEXT_ROWS.begin(), TEXT_ROWS.end(), same_key) ||
+         std::any_of(SETTING_ROWS.begin(), SETTING_ROWS.end(), same_key);
+}
+
+/** Fills the settings that are text. */
+static leaf::result<void>
+parse_texts(const nlohmann::json& file, settings& result)
+{
+  for (const text_row& row : TEXT_ROWS) {
+    const auto value = file.find(row.key);
+    if (value == file.end()) {
+      return refuse(row.key, setting_fault::missing);
+    }
+    if (!value->is_string()) {
+      return refuse(row.key, setting_fault::wrong_type);
+    }
+    result.*row.member = value->get<std::string>();
+    if ((result.*row.member).empty()) {
+      return refuse(row.key, setting_fault::bad_value);
+    }
+  }
+  return {};
+}
+
+/** Fills the settings that are numbers. */
+static leaf::result<void>
+parse_numbers(const nlohmann::json& file, settings& result)
+{
+  for (const setting_row& row : SETTING_ROWS) {
+    const auto value = file.find(row.key);
+    if (value == file.end()) {
+      result.*row.member = row.fallback;
+      continue;
+    }
+    if (!value->is_number_integer()) {
+      return refuse(row.key, setting_fault::wrong_type);
+    }
+    if (value->is_number_unsigned() && value->get<std::uint64_t>() > INT64_MAX) {
+      return refuse(row.key, setting_fault::out_of_range);
+    }
+    result.*row.member = value->get<std::int64_t>();
+    if (result.*row.member < row.minimum || result.*row.member > row.maximum) {
+      return refuse(row.key, setting_fault::out_of_range);
+    }
+  }
+  return {};
+}
+
+/** Fills the list of seeds. */
+static leaf::result<void>
+parse_seeds(const nlohmann::json& file, settings& result)
+{
+  const auto seeds = file.find("seeds");
+  if (seeds == file.end()) {
+    return {};
+  }
+  if (!seeds->is_array()) {
+    return refuse("seeds", setting_fault::wrong_type);
+  }
+  for (const nlohmann::json& seed : *seeds) {
+    if (!seed.is_string()) {
+      return refuse("seeds", setting_fault::wrong_type);
+    }
+    const std::optional<endpoint> address = parse_endpoint(seed.get<std::string>());
+    if (!address) {
+      return refuse("seeds", setting_fault::bad_value);
+    }
+    result.seeds.push_back(*address);
+  }
+  return {};
+}
+
+leaf::result<settings>
+parse_settings(std::string_view text)
+{
+  const nlohmann::json file = nlohmann::json::parse(text, nullptr, false);
+  if (!file.is_object()) {
+    return refuse("", setting_fault::not_json);
+  }
+  for (const auto& [key, value] : file.items()) {
+    if (!is_known_key(key)) {
+      return refuse(key, setting_fault::unknown_key);
+    }
+  }
+  settings result{};
+  BOOST_LEAF_CHECK(parse_texts(file, result));
+  BOOST_LEAF_CHECK(parse_numbers(file, result));
+  BOOST_LEAF_CHECK(parse_seeds(file, result));
+  if (QHostAddress(QString::fromStdString(result.host)).isNull()) {
+    return refuse("host", setting_fault::bad_value);
+  }
+  const QUrl url(QString::fromStdString(result.log_url));
+  if (!url.isValid() || url.scheme() != "http" || url.host().isEmpty()) {
+    return refuse("log_url", setting_fault::bad_value);
+  }
+  return result;
+}
+
+leaf::result<settings>
+read_settings(const std::string& path)
+{
+  std::ifstream file(path);
+  if (!file) {
+    return refuse(path, setting_fault::unreadable);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_settings(text.str());
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/key_book.cpp
@@ -0,0 +1,110 @@
+// The request keys that one home remembers.
+#include "key_book.h"
+
+namespace shallotfield {
+
+key_lookup
+key_book::arrive(const std::string& key, const std::string& fingerprint, ticket id, mono_ms now)
+{
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    if (entries_.size() >= KEYS_MAX) {
+      return key_denied{ refusal::key_limit };
+    }
+    entries_[key] = { key_state::under_way, fingerprint, {}, {}, now };
+    by_age_.emplace_back(now, key);
+    return key_first{};
+  }
+  entry& known = found->second;
+  if (known.state == key_state::barred) {
+    return key_denied{ refusal::key_moved };
+  }
+  if (known.fingerprint != fingerprint) {
+    return key_denied{ refusal::key_reused };
+  }
+  switch (known.state) {
+    case key_state::under_way:
+      known.joined.push_back(id);
+      return key_joined{};
+    case key_state::answered:
+      return key_replay{ known.answer };
+    case key_state::lost:
+    case key_state::barred:
+      break;
+  }
+  return key_denied{ refusal::key_unresolved };
+}
+
+key_claim
+key_book::query(const std::string& key, mono_ms now)
+{
+  const auto found = entries_.find(key);
+  if (found != entries_.end()) {
+    return found->second.state == key_state::barred ? key_claim::barred : key_claim::seen;
+  }
+  if (entries_.size() >= KEYS_MAX) {
+    return key_claim::seen; // No room to remember a promise, so none is given.
+  }
+  entries_[key] = { key_state::barred, {}, {}, {}, now };
+  by_age_.emplace_back(now, key);
+  return key_claim::barred;
+}
+
+std::vector<ticket>
+key_book::forget(const std::string& key)
+{
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return {};
+  }
+  std::vector<ticket> joined = std::move(found->second.joined);
+  entries_.erase(found);
+  return joined;
+}
+
+std::vector<ticket>
+key_book::settle(const std::string& key, kept_answer answer)
+{
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return {};
+  }
+  const std::size_t bytes = answer.body.size();
+  const bool fits = bytes <= KEPT_ANSWER_BYTES_MAX && kept_bytes_ + bytes <= KEPT_BYTES_MAX;
+  found->second.state = fits ? key_state::answered : key_state::lost;
+  if (fits) {
+    kept_bytes_ += bytes;
+    found->second.answer = std::move(answer);
+  }
+  return std::exchange(found->second.joined, {});
+}
+
+std::vector<ticket>
+key_book::lose(const std::string& key)
+{
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return {};
+  }
+  found->second.state = key_state::lost;
+  return std::exchange(found->second.joined, {});
+}
+
+void
+key_book::drop_old(mono_ms now)
+{
+  while (!by_age_.empty() && now - by_age_.front().first > window_ms_) {
+    const auto found = entries_.find(by_age_.front().second);
+    const bool is_same = found != entries_.end() && found->second.noted_at == by_age_.front().first;
+    if (is_same && found->second.state == key_state::under_way) {
+      return; // Still under way: it is dropped when it has ended.
+    }
+    if (is_same) {
+      kept_bytes_ -= found->second.answer.body.size();
+      entries_.erase(found);
+    }
+    by_age_.pop_front();
+  }
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/key_policy.cpp
@@ -0,0 +1,155 @@
+// Request keys: which node is the home of a key, and whether a home may run it.
+#include "key_policy.h"
+
+#include <QCryptographicHash>
+#include <QUuid>
+#include <QtEndian>
+
+namespace shallotfield {
+
+/** Version number in a UUID that begins with a Unix time in ms. */
+static constexpr unsigned TIME_ORDERED_VERSION = 7;
+
+std::optional<unix_ms>
+key_time(const std::string& key)
+{
+  const QUuid uuid = QUuid::fromString(QString::fromStdString(key));
+  if (uuid.isNull() || (uuid.data3 >> 12U) != TIME_ORDERED_VERSION) {
+    return std::nullopt;
+  }
+  return (static_cast<unix_ms>(uuid.data1) << 16U) | uuid.data2;
+}
+
+std::uint64_t
+key_rank(const std::string& key, const node_id& node)
+{
+  const QByteArray text = QByteArray::fromStdString(key + "/" + node);
+  const QByteArray hash = QCryptographicHash::hash(text, QCryptographicHash::Sha1);
+  return qFromBigEndian<quint64>(hash.constData());
+}
+
+bool
+is_blocked(const std::vector<node_id>& blocked, const node_id& node)
+{
+  return std::binary_search(blocked.begin(), blocked.end(), node);
+}
+
+std::vector<const member_record*>
+without_blocked(const std::vector<const member_record*>& servers,
+                const std::vector<node_id>& blocked)
+{
+  std::vector<const member_record*> usable;
+  for (const member_record* server : servers) {
+    if (!is_blocked(blocked, server->id)) {
+      usable.push_back(server);
+    }
+  }
+  return usable;
+}
+
+const member_record*
+find_home(const std::string& key, const std::vector<const member_record*>& servers)
+{
+  const member_record* home = nullptr;
+  std::uint64_t best = 0;
+  for (const member_record* server : servers) {
+    const std::uint64_t rank = key_rank(key, server->id);
+    if (home == nullptr || rank > best) {
+      home = server;
+      best = rank;
+    }
+  }
+  return home;
+}
+
+/** What a former or lower-ranked server means for a key. */
+enum class former_state
+{
+  cleared,    ///< It can't have run the key.
+  ask,        ///< It still runs and can promise.
+  unresolved, ///< It is gone and may have run the key.
+};
+
+/** Judges a server that no longer takes work. */
+static former_state
+judge_former(const member_view& view,
+             const node_id& id,
+             unix_ms left_at,
+             unix_ms made_at,
+             const key_limits& limits)
+{
+  const auto record = view.members.find(id);
+  if (made_at > left_at + limits.settle_ms) {
+    return former_state::cleared;
+  }
+  const bool is_gone = record == view.members.end() || is_tombstone(record->second);
+  return is_gone ? former_state::unresolved : former_state::ask;
+}
+
+key_permission
+decide_key(const member_view& view,
+           const node_id& self,
+           const service_id& service,
+           const std::string& key,
+           const std::vector<node_id>& blocked,
+           bool is_in_touch,
+           unix_ms now,
+           const key_limits& limits)
+{
+  const std::optional<unix_ms> made_at = key_time(key);
+  if (!made_at || *made_at > now + CLOCK_SKEW_MAX_MS) {
+    return key_denied{ refusal::key_malformed };
+  }
+  if (*made_at < now - limits.window_ms + CLOCK_SKEW_MAX_MS) {
+    return key_denied{ refusal::key_expired };
+  }
+  if (!is_in_touch) {
+    return key_denied{ refusal::stale };
+  }
+  const auto members = view.services.find(service);
+  if (members == view.services.end() || !members->second.live_since.contains(self)) {
+    return key_denied{ refusal::key_moved };
+  }
+  const std::vector<const member_record*> usable =
+    without_blocked(members->second.servers, blocked);
+  if (usable.size() != members->second.servers.size() && is_blocked(blocked, self)) {
+    return key_denied{ refusal::blocked };
+  }
+  if (find_home(key, usable)->id != self) {
+    return key_denied{ refusal::key_moved };
+  }
+  const unix_ms own_since = members->second.live_since.at(self);
+  const auto process_start = static_cast<unix_ms>(view.members.at(self).incarnation);
+  if (*made_at <= process_start + CLOCK_SKEW_MAX_MS) {
+    return key_denied{ refusal::key_unresolved };
+  }
+  const bool is_new = *made_at <= own_since + limits.settle_ms;
+  const std::uint64_t own_rank = key_rank(key, self);
+  key_consult consult;
+  for (const auto& [id, left_at] : members->second.left_at) {
+    if (id == self || (!is_new && key_rank(key, id) < own_rank)) {
+      continue;
+    }
+    switch (judge_former(view, id, left_at, *made_at, limits)) {
+      case former_state::cleared:
+        break;
+      case former_state::ask:
+        consult.former.push_back(id);
+        break;
+      case former_state::unresolved:
+        return key_denied{ refusal::key_unresolved };
+    }
+  }
+  for (const member_record* server : members->second.servers) {
+    const bool ranks_higher = key_rank(key, server->id) > own_rank; // It is blocked, then.
+    if (server->id != self && (is_new || ranks_higher)) {
+      consult.former.push_back(server->id);
+    }
+  }
+  if (consult.former.empty()) {
+    return key_allowed{};
+  }
+  return consult;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/pick_policy.cpp
@@ -0,0 +1,232 @@
+// Which backend server a request goes to.
+#include "pick_policy.h"
+#include "key_policy.h"
+
+namespace shallotfield {
+
+/** Weight of a new latency in the moving average. */
+static constexpr double LATENCY_WEIGHT = 0.2;
+
+/** Latency assumed for a server that was not seen yet, so that new servers are tried. */
+static constexpr double UNSEEN_LATENCY_MS = 1.0;
+
+/** Age after which a load report says nothing any more. */
+static constexpr mono_ms LOAD_REPORT_VALID_MS = 1000;
+
+/** Failures in a row that eject a server. */
+static constexpr std::uint32_t EJECT_AFTER_FAILURES = 3;
+
+/** Time for which a server is ejected; then one request probes it. */
+static constexpr mono_ms EJECT_MS = 2000;
+
+/** Share of the servers of a service that may be ejected at once, in 100. */
+static constexpr std::size_t EJECT_PERCENT_MAX = 50;
+
+void
+balancer::note_sent(const node_id& node)
+{
+  ++servers_[node].in_flight;
+}
+
+void
+balancer::note_ended(const node_id& node)
+{
+  server_stats& stats = servers_[node];
+  if (stats.in_flight > 0) {
+    --stats.in_flight;
+  }
+}
+
+void
+balancer::note_answer(const node_id& node, double latency_ms, const load_report& load, mono_ms now)
+{
+  server_stats& stats = servers_[node];
+  stats.latency_ms = stats.latency_ms == 0
+                       ? latency_ms
+                       : (1 - LATENCY_WEIGHT) * stats.latency_ms + LATENCY_WEIGHT * latency_ms;
+  stats.failures = 0;
+  stats.ejected_until = 0;
+  note_load(node, load, now);
+}
+
+void
+balancer::note_load(const node_id& node, const load_report& load, mono_ms now)
+{
+  server_stats& stats = servers_[node];
+  stats.load = load;
+  stats.load_at = now;
+}
+
+bool
+balancer::note_failure(const node_id& node, mono_ms now)
+{
+  server_stats& stats = servers_[node];
+  ++stats.failures;
+  if (stats.failures < EJECT_AFTER_FAILURES) {
+    return false;
+  }
+  stats.ejected_until = now + EJECT_MS;
+  return true;
+}
+
+void
+balancer::forget_absent(const member_view& view)
+{
+  std::erase_if(servers_, [&view](const auto& item) {
+    return item.second.in_flight == 0 && !view.members.contains(item.first);
+  });
+}
+
+const server_stats&
+balancer::stats(const node_id& node) const
+{
+  static const server_stats UNSEEN;
+  const auto found = servers_.find(node);
+  return found == servers_.end() ? UNSEEN : found->second;
+}
+
+/** Requests that a server has, as far as this thread can tell. */
+static std::uint32_t
+estimate_load(const server_stats& stats, mono_ms now)
+{
+  const bool is_recent = stats.load_at != 0 && now - stats.load_at < LOAD_REPORT_VALID_MS;
+  const std::uint32_t reported = is_recent ? stats.load.running + stats.load.waiting : 0;
+  return std::max(reported, stats.in_flight);
+}
+
+/** Whether a server seems to have a free slot. */
+static bool
+has_room(const member_record& server, const server_stats& stats, mono_ms now)
+{
+  const std::uint32_t slots = stats.load.slots > 0 ? stats.load.slots : server.server.slots;
+  return estimate_load(stats, now) < slots;
+}
+
+/** Expected cost of one more request; lower is better. */
+static double
+cost(const member_record& server, const server_stats& stats, mono_ms now)
+{
+  const double slots = std::max<std::uint32_t>(1, server.server.slots);
+  const double latency = stats.latency_ms > 0 ? stats.latency_ms : UNSEEN_LATENCY_MS;
+  return latency * (1.0 + estimate_load(stats, now) / slots);
+}
+
+using candidates = std::vector<const member_record*>;
+
+/** The better of two servers that are drawn at random. */
+static const member_record*
+better_of_two(const candidates& from, const balancer& seen, mono_ms now, random_source& random)
+{
+  std::uniform_int_distribution<std::size_t> draw(0, from.size() - 1);
+  const member_record* first = from[draw(random)];
+  const member_record* second = from[draw(random)];
+  return cost(*first, seen.stats(first->id), now) <= cost(*second, seen.stats(second->id), now)
+           ? first
+           : second;
+}
+
+/** Leaves out ejected servers, unless too many are ejected for that to help. */
+static candidates
+without_ejected(const candidates& from, const balancer& seen, mono_ms now)
+{
+  candidates kept;
+  for (const member_record* server : from) {
+    if (seen.stats(server->id).ejected_until <= now) {
+      kept.push_back(server);
+    }
+  }
+  const std::size_t ejected = from.size() - kept.size();
+  return ejected * 100 > from.size() * EJECT_PERCENT_MAX ? from : kept;
+}
+
+/** Servers at each distance from this node, nearest first. */
+struct distance_groups
+{
+  std::array<candidates, 3> groups; ///< Same zone, same region, elsewhere.
+};
+
+/** Sorts servers by distance. */
+static distance_groups
+group_by_distance(const candidates& from, const member_record& self, work_class kind)
+{
+  distance_groups result;
+  for (const member_record* server : from) {
+    if (server->zone == self.zone) {
+      result.groups[0].push_back(server);
+    } else if (server->region == self.region) {
+      result.groups[1].push_back(server);
+    } else if (kind == work_class::interactive) {
+      result.groups[2].push_back(server);
+    }
+  }
+  // Bulk work crosses when the region has no server of the service at all.
+  if (kind == work_class::bulk && result.groups[0].empty() && result.groups[1].empty()) {
+    result.groups[2] = from;
+  }
+  return result;
+}
+
+/** Picks by distance, room and cost. */
+static std::optional<pick_decision>
+pick_by_distance(const candidates& from,
+                 const member_record& self,
+                 work_class kind,
+                 const balancer& seen,
+                 mono_ms now,
+                 random_source& random)
+{
+  static constexpr std::array<pick_reason, 3> REASONS = { pick_reason::same_zone,
+                                                          pick_reason::same_region,
+                                                          pick_reason::across };
+  const distance_groups by_distance = group_by_distance(from, self, kind);
+  const candidates* nearest = nullptr;
+  for (std::size_t i = 0; i < REASONS.size(); ++i) {
+    const candidates& group = by_distance.groups[i];
+    if (group.empty()) {
+      continue;
+    }
+    nearest = nearest == nullptr ? &group : nearest;
+    candidates with_room;
+    for (const member_record* server : group) {
+      if (has_room(*server, seen.stats(server->id), now)) {
+        with_room.push_back(server);
+      }
+    }
+    if (!with_room.empty()) {
+      return pick_decision{ better_of_two(with_room, seen, now, random), REASONS[i] };
+    }
+  }
+  if (nearest == nullptr) {
+    return std::nullopt;
+  }
+  return pick_decision{ better_of_two(*nearest, seen, now, random), pick_reason::crowded };
+}
+
+std::optional<pick_decision>
+pick_server(const compiled_version& version,
+            const member_view& view,
+            const balancer& seen,
+            const node_id& self,
+            const pick_request& request,
+            mono_ms now,
+            random_source& random)
+{
+  const auto members = view.services.find(request.service);
+  if (members == view.services.end()) {
+    return std::nullopt;
+  }
+  candidates usable = without_blocked(members->second.servers, version.content.blocked_servers);
+  if (!request.key.empty()) {
+    // Servers that this request was at count too: the home must not depend on who asks.
+    const member_record* home = find_home(request.key, usable);
+    return home == nullptr ? std::nullopt
+                           : std::optional(pick_decision{ home, pick_reason::key_home });
+  }
+  std::erase_if(usable, [&request](const member_record* server) {
+    return request.excluded.contains(server->id);
+  });
+  return pick_by_distance(
+    without_ejected(usable, seen, now), view.members.at(self), request.kind, seen, now, random);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/request.h
@@ -0,0 +1,10 @@
+// What lives as long as one request: routing, picking, admission, retries, keys, its course.
+#pragma once
+#include "admission_policy.h"    // IWYU pragma: export
+#include "call_policy.h"         // IWYU pragma: export
+#include "key_book.h"            // IWYU pragma: export
+#include "key_policy.h"          // IWYU pragma: export
+#include "pick_policy.h"         // IWYU pragma: export
+#include "retry_policy.h"        // IWYU pragma: export
+#include "route_policy.h"        // IWYU pragma: export
+#include "table/refusal_table.h" // IWYU pragma: export
--- /dev/null
+++ b/src/version/ledger.cpp
@@ -0,0 +1,254 @@
+// Folds the records of the log into the current version.
+#include "document_func.h"
+#include "ledger_base.h"
+#include "record_codec.h"
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <variant>
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+/** Chained digests that are kept to compare snapshots of the recent past with. */
+static constexpr std::size_t CHAINS_KEPT = 256;
+
+/** Version 0: an empty document. */
+static compiled_version_ptr
+empty_version()
+{
+  json source = json::object();
+  std::string digest = sha256_hex(canonical_text(source));
+  return compile_version(0, std::move(digest), std::move(source), document{});
+}
+
+std::string
+extend_chain(const std::string& chain, std::string_view bytes)
+{
+  return sha256_hex(chain + ":" + sha256_hex(bytes));
+}
+
+proposal
+make_proposal(const compiled_version& base, const json& target)
+{
+  proposal result;
+  result.base_version = base.number;
+  result.patch = json::diff(base.source, target);
+  result.digest = sha256_hex(canonical_text(target));
+  return result;
+}
+
+/** Whether a patch has only steps that can't multiply the document ("copy" and "move" can). */
+static bool
+has_plain_steps(const json& patch)
+{
+  return patch.is_array() && std::all_of(patch.begin(), patch.end(), [](const json& step) {
+           const auto op = step.is_object() ? step.find("op") : step.end();
+           return step.is_object() && op != step.end() &&
+                  (*op == "add" || *op == "remove" || *op == "replace");
+         });
+}
+
+leaf::result<patched_document>
+apply_patch(const compiled_version& base, const json& patch)
+{
+  if (!has_plain_steps(patch)) {
+    return leaf::new_error(document_error{ "", document_fault::bad_value });
+  }
+  json source;
+  try {
+    source = base.source.patch(patch);
+  } catch (const json::exception&) {
+    return leaf::new_error(document_error{ "", document_fault::bad_value });
+  }
+  BOOST_LEAF_AUTO(content, parse_document(source));
+  return patched_document{ std::move(source), std::move(content) };
+}
+
+ledger::ledger()
+  : chain_(sha256_hex(""))
+  , current_(empty_version())
+{
+}
+
+std::optional<std::string>
+ledger::chain_at(std::uint64_t offset) const
+{
+  if (offset == offset_) {
+    return chain_;
+  }
+  const auto found = std::find_if(
+    chains_.begin(), chains_.end(), [offset](const auto& item) { return item.first == offset; });
+  return found == chains_.end() ? std::nullopt : std::optional(found->second);
+}
+
+const judgement*
+ledger::find(const std::string& publish_id) const
+{
+  for (const judgement& item : judgements_) {
+    if (item.publish_id == publish_id && item.result != verdict::duplicate) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
+const judgement*
+ledger::find_version(std::uint64_t version) const
+{
+  for (const judgement& item : judgements_) {
+    if (item.version == version && item.result == verdict::accepted) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
+/** Lists the paths that a patch changes, up to the number that is kept. */
+static std::vector<std::string>
+changed_paths(const json& patch)
+{
+  std::vector<std::string> paths;
+  for (const json& step : patch) {
+    if (paths.size() == CHANGED_PATHS_KEPT) {
+      break;
+    }
+    paths.push_back(step.at("path").get<std::string>());
+  }
+  return paths;
+}
+
+judgement
+ledger::judge(std::uint64_t offset, const proposal& value)
+{
+  judgement result{ value.publish_id, offset, verdict::invalid, current_->number, value.author,
+                    value.written_at, {},     std::nullopt };
+  if (const judgement* earlier = find(value.publish_id)) {
+    result.result = verdict::duplicate;
+    result.version = earlier->version;
+    return result;
+  }
+  if (value.base_version != current_->number) {
+    result.result = verdict::conflict;
+    return result;
+  }
+  std::variant<patched_document, document_error> outcome = leaf::try_handle_all(
+    [&]() -> leaf::result<std::variant<patched_document, document_error>> {
+      BOOST_LEAF_AUTO(patched, apply_patch(*current_, value.patch));
+      return std::variant<patched_document, document_error>(std::move(patched));
+    },
+    [](const document_error& error) {
+      return std::variant<patched_document, document_error>(error);
+    },
+    [] {
+      return std::variant<patched_document, document_error>(
+        document_error{ "", document_fault::bad_value });
+    });
+  if (const auto* error = std::get_if<document_error>(&outcome)) {
+    result.error = *error;
+    return result;
+  }
+  auto& patched = std::get<patched_document>(outcome);
+  const std::string digest = sha256_hex(canonical_text(patched.source));
+  if (digest != value.digest) {
+    result.error = document_error{ "/digest", document_fault::bad_value };
+    return result;
+  }
+  current_ = compile_version(
+    current_->number + 1, digest, std::move(patched.source), std::move(patched.content));
+  result.result = verdict::accepted;
+  result.version = current_->number;
+  result.changed = changed_paths(value.patch);
+  return result;
+}
+
+void
+ledger::advance(std::uint64_t offset, std::string chain)
+{
+  offset_ = offset;
+  chain_ = std::move(chain);
+  chains_.emplace_back(offset_, chain_);
+  if (chains_.size() > CHAINS_KEPT) {
+    chains_.pop_front();
+  }
+}
+
+fold_result
+ledger::fold(std::uint64_t offset, std::string_view bytes, const std::optional<std::string>& chain)
+{
+  if (offset <= offset_) {
+    return fold_result::known;
+  }
+  if (offset != offset_ + 1) {
+    return fold_result::gap;
+  }
+  std::string next_chain = extend_chain(chain_, bytes);
+  if (chain && *chain != next_chain) {
+    return fold_result::corrupt;
+  }
+  using parsed = std::variant<proposal, record_error>;
+  const parsed outcome = leaf::try_handle_all(
+    [&]() -> leaf::result<parsed> {
+      BOOST_LEAF_AUTO(value, parse_proposal(bytes));
+      return parsed(std::move(value));
+    },
+    [](const record_error& error) { return parsed(error); },
+    [] { return parsed(record_error{ record_fault::malformed }); });
+  if (const auto* error = std::get_if<record_error>(&outcome)) {
+    if (error->fault == record_fault::new_format) {
+      return fold_result::new_format;
+    }
+    advance(offset, std::move(next_chain));
+    return fold_result::malformed;
+  }
+  judgements_.push_back(judge(offset, std::get<proposal>(outcome)));
+  if (judgements_.size() > JUDGEMENTS_KEPT) {
+    judgements_.pop_front();
+  }
+  advance(offset, std::move(next_chain));
+  return fold_result::judged;
+}
+
+adopt_result
+ledger::adopt(const snapshot& from)
+{
+  const std::optional<std::string> held = chain_at(from.offset);
+  if (held && from.offset > 0 && *held != from.chain) {
+    return adopt_result::contradicts;
+  }
+  if (from.offset <= offset_) {
+    return adopt_result::older;
+  }
+  const bool changes_digest = from.version == current_->number && from.digest != current_->digest;
+  if (from.version < current_->number || changes_digest) {
+    return adopt_result::reverts;
+  }
+  std::optional<document> content = leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<document>> {
+      BOOST_LEAF_AUTO(parsed, parse_document(from.source));
+      return std::optional(std::move(parsed));
+    },
+    [](const document_error&) { return std::optional<document>(); },
+    [] { return std::optional<document>(); });
+  if (!content) {
+    return adopt_result::bad_document;
+  }
+  if (from.version != current_->number) {
+    current_ = compile_version(from.version, from.digest, from.source, std::move(*content));
+  }
+  judgements_.assign(from.judgements.begin(), from.judgements.end());
+  chains_.clear();
+  advance(from.offset, from.chain);
+  return adopt_result::adopted;
+}
+
+snapshot
+ledger::to_snapshot() const
+{
+  return { offset_,          chain_,           current_->number,
+           current_->digest, current_->source, { judgements_.begin(), judgements_.end() } };
+}
+
+} // namespace shallotfield
