--- /dev/null
+++ b/src/command/operator_client.cpp
@@ -0,0 +1,72 @@
+// Calls to a node's operators' port.
+#include "operator_client.h"
+
+#include <QEventLoop>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <boost/leaf/error.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Longest wait for an answer; a publish may wait for its verdict. */
+static constexpr int ANSWER_TIMEOUT_MS = 130'000;
+
+/** Builds the request to a path. */
+static QNetworkRequest
+build_request(const operator_target& target, const std::string& path)
+{
+  QNetworkRequest request(QUrl(QString::fromStdString("http://" + target.node.host + ":" +
+                                                      std::to_string(target.node.port) + path)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  request.setRawHeader("Authorization", QByteArray::fromStdString("Bearer " + target.token));
+  request.setTransferTimeout(ANSWER_TIMEOUT_MS);
+  return request;
+}
+
+/** Waits for an answer and reads it. */
+static leaf::result<nlohmann::json>
+await(QNetworkReply& reply)
+{
+  QEventLoop loop;
+  QObject::connect(&reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
+  if (!reply.isFinished()) {
+    loop.exec();
+  }
+  const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  const std::string body = reply.readAll().toStdString();
+  if (status == 0) {
+    const bool never_left = reply.error() == QNetworkReply::ConnectionRefusedError ||
+                            reply.error() == QNetworkReply::HostNotFoundError;
+    return leaf::new_error(call_error{ never_left ? exit_code::unavailable : exit_code::unknown,
+                                       reply.errorString().toStdString() });
+  }
+  if (reply.error() != QNetworkReply::NoError) {
+    return leaf::new_error(call_error{ exit_code::refused, body });
+  }
+  nlohmann::json value = nlohmann::json::parse(body, nullptr, false);
+  if (value.is_discarded()) {
+    return leaf::new_error(call_error{ exit_code::unknown, body });
+  }
+  return value;
+}
+
+leaf::result<nlohmann::json>
+get_json(const operator_target& target, const std::string& path)
+{
+  QNetworkAccessManager manager;
+  const std::unique_ptr<QNetworkReply> reply(manager.get(build_request(target, path)));
+  return await(*reply);
+}
+
+leaf::result<nlohmann::json>
+post_json(const operator_target& target, const std::string& path, const nlohmann::json& body)
+{
+  QNetworkAccessManager manager;
+  const std::unique_ptr<QNetworkReply> reply(
+    manager.post(build_request(target, path), QByteArray::fromStdString(body.dump())));
+  return await(*reply);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/command/operator_cmd.cpp
@@ -0,0 +1,266 @@
+// The commands of operators: publish, check, status, history, diff and drain.
+#include "command.h"
+#include "operator_client.h"
+#include "version/version.h"
+
+#include <QDateTime>
+#include <QEventLoop>
+#include <QTimer>
+#include <QUuid>
+#include <boost/leaf/handle_errors.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+/** Pause between two lines of `status --watch`. */
+static constexpr int WATCH_INTERVAL_MS = 1000;
+
+/** Publishes that ended without knowing the outcome are repeated with the same id this often. */
+static constexpr int PUBLISH_TRIES = 3;
+
+/** An option that is missing or wrong. */
+struct option_error
+{
+  std::string option; ///< Its name.
+};
+
+/** Reads a file. */
+static leaf::result<std::string>
+read_file(const std::string& path)
+{
+  std::ifstream file(path);
+  if (path.empty() || !file) {
+    return leaf::new_error(option_error{ "file" });
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/** Finds the node that a command talks to. */
+static leaf::result<operator_target>
+parse_target(const command_options& options)
+{
+  const std::optional<endpoint> node = parse_endpoint(options.node);
+  if (!node) {
+    return leaf::new_error(option_error{ "node" });
+  }
+  return operator_target{ *node, options.token };
+}
+
+/** Runs a command and shows its failures. */
+template<typename F>
+static exit_code
+run(F&& body)
+{
+  return leaf::try_handle_all(
+    std::forward<F>(body),
+    [](const option_error& error) {
+      std::cerr << "error=usage option=" << error.option << '\n';
+      return exit_code::usage;
+    },
+    [](const document_error& error) {
+      std::cerr << "error=invalid field=" << error.field << " fault=" << enum_name(error.fault)
+                << '\n';
+      return exit_code::invalid;
+    },
+    [](const call_error& error) {
+      std::cerr << "error=" << enum_name(error.code) << " detail=\"" << error.detail << "\"\n";
+      return error.code;
+    },
+    [] { return exit_code::internal; });
+}
+
+/** Shows a Unix time in ms as UTC. */
+static std::string
+format_time(std::int64_t unix_ms)
+{
+  return QDateTime::fromMSecsSinceEpoch(unix_ms, Qt::UTC).toString(Qt::ISODateWithMs).toStdString();
+}
+
+exit_code
+run_check(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(text, read_file(options.document_path));
+    BOOST_LEAF_AUTO(value, parse_bounded_json(text));
+    BOOST_LEAF_AUTO(parsed, parse_document(value));
+    std::cout << "result=valid services=" << parsed.services.size()
+              << " routes=" << parsed.routes.size()
+              << " digest=" << sha256_hex(canonical_text(value)) << '\n';
+    return exit_code::ok;
+  });
+}
+
+/** Sends a publish, again with the same id while its outcome is not known. */
+static leaf::result<json>
+publish_until_known(const operator_target& target, const json& body)
+{
+  json answer = { { "result", "unknown" } };
+  for (int i = 0; i < PUBLISH_TRIES && answer.value("result", "") == "unknown"; ++i) {
+    BOOST_LEAF_ASSIGN(answer, post_json(target, "/v1/publish", body));
+  }
+  return answer;
+}
+
+/** The exit code for the answer to a publish. */
+static exit_code
+publish_exit_code(const std::string& result)
+{
+  static constexpr std::array<std::pair<std::string_view, exit_code>, 5> CODES = { {
+    { "accepted", exit_code::ok },
+    { "conflict", exit_code::conflict },
+    { "invalid", exit_code::invalid },
+    { "unavailable", exit_code::unavailable },
+    { "unknown", exit_code::unknown },
+  } };
+  for (const auto& [name, code] : CODES) {
+    if (name == result) {
+      return code;
+    }
+  }
+  return exit_code::refused;
+}
+
+exit_code
+run_publish(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(target, parse_target(options));
+    BOOST_LEAF_AUTO(text, read_file(options.document_path));
+    BOOST_LEAF_AUTO(value, parse_bounded_json(text));
+    BOOST_LEAF_CHECK(parse_document(value));
+    const std::string id = options.publish_id.empty()
+                             ? QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString()
+                             : options.publish_id;
+    json body = { { "publish_id", id }, { "author", options.author }, { "document", value } };
+    if (options.base_version) {
+      body["base_version"] = *options.base_version;
+    }
+    BOOST_LEAF_AUTO(answer, publish_until_known(target, body));
+    const std::string result = answer.value("result", "");
+    std::cout << "result=" << result << " version=" << answer.value("version", 0)
+              << " publish_id=" << id;
+    if (answer.contains("verdict")) {
+      std::cout << " verdict=" << answer.value("verdict", "");
+    }
+    if (answer.contains("fault")) {
+      std::cout << " field=" << answer.value("field", "") << " fault=" << answer.value("fault", "");
+    }
+    std::cout << '\n';
+    for (const json& item : answer.value("since", json::array())) {
+      if (!options.base_version || item.value("version", 0ULL) > *options.base_version) {
+        std::cout << "since version=" << item.value("version", 0ULL)
+                  << " author=" << item.value("author", "")
+                  << " changed=" << item.value("changed", json::array()).dump() << '\n';
+      }
+    }
+    const std::string counted = result == "duplicate" ? answer.value("verdict", "") : result;
+    return publish_exit_code(counted);
+  });
+}
+
+/** Shows one status. */
+static void
+show_status(const json& status, bool as_json)
+{
+  if (as_json) {
+    std::cout << status.dump() << std::endl;
+    return;
+  }
+  const json fleet = status.value("fleet", json::object());
+  const auto version = status.value("version", std::uint64_t{ 0 });
+  std::uint64_t in_force = 0;
+  for (const json& item : fleet.value("counts", json::array())) {
+    if (item.value("version", std::uint64_t{ 0 }) == version) {
+      in_force = item.value("nodes", std::uint64_t{ 0 });
+    }
+  }
+  std::cout << "version=" << version << " in_force_on=" << in_force
+            << " nodes=" << fleet.value("nodes", std::uint64_t{ 0 })
+            << " not_known=" << fleet.value("not_known", std::uint64_t{ 0 })
+            << " since=" << format_time(status.value("in_force_since", std::int64_t{ 0 }))
+            << " node=" << status.value("node", "") << " role=" << status.value("role", "")
+            << " log=" << (status.value("log_reachable", false) ? "reachable" : "unreachable")
+            << " lagging=" << fleet.value("lagging", json::array()).dump() << std::endl;
+}
+
+exit_code
+run_status(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(target, parse_target(options));
+    for (;;) {
+      BOOST_LEAF_AUTO(status, get_json(target, "/v1/status"));
+      show_status(status, options.as_json);
+      if (!options.watches) {
+        return exit_code::ok;
+      }
+      QEventLoop pause;
+      QTimer::singleShot(WATCH_INTERVAL_MS, &pause, &QEventLoop::quit);
+      pause.exec();
+    }
+  });
+}
+
+exit_code
+run_history(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(target, parse_target(options));
+    BOOST_LEAF_AUTO(history, get_json(target, "/v1/history"));
+    if (options.as_json) {
+      std::cout << history.dump() << '\n';
+      return exit_code::ok;
+    }
+    const json list = history.value("judgements", json::array());
+    for (std::size_t i = 0; i < list.size(); ++i) {
+      const json& item = list[i];
+      std::cout << "offset=" << item.value("offset", 0ULL)
+                << " written=" << format_time(item.value("written_at", std::int64_t{ 0 }))
+                << " verdict=" << item.value("verdict", "")
+                << " version=" << item.value("version", 0ULL)
+                << " author=" << item.value("author", "")
+                << " publish_id=" << item.value("publish_id", "")
+                << " changed=" << item.value("changed", json::array()).dump() << '\n';
+    }
+    return exit_code::ok;
+  });
+}
+
+exit_code
+run_diff(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(target, parse_target(options));
+    BOOST_LEAF_AUTO(text, read_file(options.document_path));
+    BOOST_LEAF_AUTO(value, parse_bounded_json(text));
+    BOOST_LEAF_CHECK(parse_document(value));
+    BOOST_LEAF_AUTO(config, get_json(target, "/v1/config"));
+    const json steps = json::diff(config.value("document", json::object()), value);
+    std::cout << "base_version=" << config.value("version", 0ULL) << " changes=" << steps.size()
+              << '\n';
+    for (const json& step : steps) {
+      std::cout << step.dump() << '\n';
+    }
+    return exit_code::ok;
+  });
+}
+
+exit_code
+run_drain(const command_options& options)
+{
+  return run([&]() -> leaf::result<exit_code> {
+    BOOST_LEAF_AUTO(target, parse_target(options));
+    BOOST_LEAF_AUTO(answer, post_json(target, "/v1/drain", json::object()));
+    std::cout << "result=" << answer.value("result", "") << '\n';
+    return exit_code::ok;
+  });
+}
+
+} // namespace shallotfield
--- a/src/connection/framed_socket.cpp
+++ b/src/connection/framed_socket.cpp
@@ -41,7 +41,11 @@
 void
 framed_socket::connect_to(const endpoint& to, int timeout_ms)
 {
-  socket_.connectToHost(QHostAddress(QString::fromStdString(to.host)), to.port);
+  // From the event loop, so that a failure is never told before this returns.
+  QMetaObject::invokeMethod(
+    &socket_,
+    [this, to] { socket_.connectToHost(QHostAddress(QString::fromStdString(to.host)), to.port); },
+    Qt::QueuedConnection);
   QTimer::singleShot(timeout_ms, &socket_, [this] {
     if (!is_open_) {
       end(link_end::not_connected);
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -21,7 +21,11 @@
   QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { read(); });
   QObject::connect(&socket_, &QTcpSocket::disconnected, &socket_, [this] { end(); });
   QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_, [this] { end(); });
-  socket_.connectToHost(QHostAddress(QString::fromStdString(to.host)), to.port);
+  // From the event loop, so that a failure is never told before this returns.
+  QMetaObject::invokeMethod(
+    &socket_,
+    [this, to] { socket_.connectToHost(QHostAddress(QString::fromStdString(to.host)), to.port); },
+    Qt::QueuedConnection);
   QTimer::singleShot(connect_timeout_ms, &socket_, [this] {
     if (!is_open_) {
       end();
--- /dev/null
+++ b/src/process/control.cpp
@@ -0,0 +1,269 @@
+// The control state of a node: ticks, publishing and leaving.
+#include "control_base.h"
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Shortest silence of the control thread that counts as a pause. */
+static constexpr mono_ms PAUSE_MIN_MS = 1000;
+
+/** Pause between two appends of one proposal. */
+static constexpr mono_ms PUBLISH_RETRY_MS = 300;
+
+control::control(settings options, member_record own, instant now)
+  : options_(std::move(options))
+  , self_(own.id)
+  , now_(now)
+  , started_(now)
+  , members_(own, now)
+  , duty_since_(now.mono)
+  , in_force_since_(now.unix)
+{
+}
+
+std::vector<control_effect>
+control::handle(const control_event& event, instant now)
+{
+  now_ = now;
+  std::visit([this](const auto& item) { on(item); }, event);
+  note_new_config();
+  send_config();
+  return std::exchange(effects_, {});
+}
+
+void
+control::log(log_event event, std::vector<log_field> fields)
+{
+  add(log_control{ event, std::move(fields) });
+}
+
+void
+control::send(link_id link, control_message message)
+{
+  const auto found = links_.find(link);
+  const bool crosses = found != links_.end() && found->second.peer &&
+                       found->second.peer->region != members_.own().region;
+  add(send_control{ link, std::move(message), crosses });
+}
+
+void
+control::on(const control_tick& /*event*/)
+{
+  detect_pause();
+  wholes_left_ = TRANSFERS_PER_TICK;
+  if (members_.own().server.state != server_state::none && now_.mono > server_lease_until_) {
+    server_card card = members_.own().server;
+    card.state = server_state::none;
+    log(log_event::server_announced,
+        { { "service", card.service }, { "state", "none" }, { "reason", "lease_ended" } });
+    spread(members_.update_own(members_.own().state, card, now_), std::nullopt);
+  }
+  check_silence();
+  check_missing();
+  std::erase_if(unreachable_, [this](const auto& item) { return item.second <= now_.mono; });
+  replan();
+  check_duties();
+  if (now_.mono >= next_heartbeat_) {
+    next_heartbeat_ = now_.mono + options_.heartbeat_ms;
+    members_.drop_old_tombstones(now_);
+    update_lease();
+    update_fleet();
+    send_heartbeats();
+  }
+  send_members();
+  read_on();
+  write_snapshots();
+  check_publishes();
+}
+
+void
+control::detect_pause()
+{
+  const mono_ms limit = std::max<mono_ms>(PAUSE_MIN_MS, options_.heartbeat_ms);
+  if (last_tick_ != 0 && now_.mono - last_tick_ > limit) {
+    log(log_event::pause_detected, { { "ms", now_.mono - last_tick_ } });
+    count(counter_id::pauses);
+    lease_until_ = 0;
+    add(apply_lease{ lease_until_ });
+    for (auto& [id, link] : links_) {
+      link.last_heard = now_.mono; // Their messages may wait unread: nobody is blamed.
+    }
+    for (auto& [id, since] : missing_since_) {
+      since = now_.mono;
+    }
+    duty_since_ = now_.mono;
+    if (parent_link_) {
+      subscribe_to(*parent_link_, true, false);
+    }
+  }
+  last_tick_ = now_.mono;
+}
+
+void
+control::on(const server_announced& event)
+{
+  server_lease_until_ = now_.mono + options_.server_lease_ms;
+  const server_state before = members_.own().server.state;
+  const std::optional<member_record> changed =
+    members_.update_own(members_.own().state, event.card, now_);
+  if (changed) {
+    log(log_event::server_announced,
+        { { "service", event.card.service },
+          { "state", enum_name(event.card.state) },
+          { "before", enum_name(before) },
+          { "slots", event.card.slots } });
+    spread(changed, std::nullopt);
+    send_members();
+  }
+}
+
+void
+control::on(const leave_requested& event)
+{
+  const member_state state = event.is_done ? member_state::left : member_state::draining;
+  log(log_event::draining, { { "state", enum_name(state) } });
+  spread(members_.update_own(state, members_.own().server, now_), std::nullopt);
+  send_members();
+  if (event.is_done) {
+    for (const auto& [id, link] : links_) {
+      if (link.is_open) {
+        send(id, goodbye_message{});
+      }
+    }
+  }
+}
+
+void
+control::on(const publish_requested& event)
+{
+  if (const judgement* known = ledger_.find(event.publish_id)) {
+    answer_publish answer{ event.publish, publish_result::duplicate,
+                           known->result, known->version,
+                           known->error,  {} };
+    add(std::move(answer));
+    return;
+  }
+  const std::uint64_t current = ledger_.current()->number;
+  const std::uint64_t base = event.base_version.value_or(current);
+  if (base > current) {
+    add(answer_publish{ event.publish, publish_result::unavailable, {}, current, {}, {} });
+    return;
+  }
+  const std::optional<document_error> error = leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<document_error>> {
+      BOOST_LEAF_CHECK(parse_document(event.target));
+      return std::optional<document_error>();
+    },
+    [](const document_error& found) { return std::optional(found); },
+    [] {
+      return std::optional(document_error{ "", document_fault::not_json });
+    });
+  pending_publish pending;
+  pending.publish_id = event.publish_id;
+  pending.deadline = now_.mono + options_.publish_timeout_ms;
+  publishes_[event.publish] = pending;
+  if (error) {
+    const judgement judged{ event.publish_id, 0, verdict::invalid, current, {}, 0, {}, error };
+    finish_publish(event.publish, publish_result::invalid, &judged);
+    return;
+  }
+  if (base < current) {
+    finish_publish(event.publish, publish_result::conflict, nullptr);
+    return;
+  }
+  proposal change = make_proposal(*ledger_.current(), event.target);
+  change.publish_id = event.publish_id;
+  change.author = event.author;
+  change.written_at = now_.unix;
+  publishes_[event.publish].bytes = encode_proposal(change);
+  check_publishes();
+}
+
+void
+control::check_publishes()
+{
+  std::vector<publish_ticket> tickets;
+  for (const auto& [ticket, pending] : publishes_) {
+    tickets.push_back(ticket);
+  }
+  for (const publish_ticket ticket : tickets) {
+    pending_publish& pending = publishes_.at(ticket);
+    if (const judgement* judged = ledger_.find(pending.publish_id)) {
+      static constexpr std::array<publish_result, VERDICT_ROWS.size()> RESULTS = {
+        publish_result::accepted,
+        publish_result::duplicate,
+        publish_result::conflict,
+        publish_result::invalid,
+      };
+      finish_publish(ticket, RESULTS[static_cast<std::size_t>(judged->result)], judged);
+      continue;
+    }
+    if (now_.mono >= pending.deadline) {
+      finish_publish(ticket,
+                     pending.may_be_written || pending.is_appending ? publish_result::unknown
+                                                                    : publish_result::unavailable,
+                     nullptr);
+      continue;
+    }
+    if (!pending.is_appending && !pending.is_appended && now_.mono >= pending.next_try_at) {
+      pending.is_appending = true;
+      add(append_log{ log_purpose::publish, ticket, log_stream::config, pending.bytes });
+    }
+  }
+}
+
+void
+control::on_published(publish_ticket ticket, const log_answer& answer)
+{
+  const auto found = publishes_.find(ticket);
+  if (found == publishes_.end()) {
+    return;
+  }
+  pending_publish& pending = found->second;
+  pending.is_appending = false;
+  if (std::holds_alternative<log_appended>(answer)) {
+    pending.is_appended = true;
+    pending.may_be_written = true;
+    return;
+  }
+  const auto* fault = std::get_if<log_fault>(&answer);
+  const bool is_not_written =
+    fault != nullptr && (*fault == log_fault::unreachable || *fault == log_fault::refused);
+  pending.may_be_written = pending.may_be_written || !is_not_written;
+  if (!pending.may_be_written) {
+    finish_publish(ticket, publish_result::unavailable, nullptr);
+    return;
+  }
+  pending.next_try_at = now_.mono + PUBLISH_RETRY_MS;
+}
+
+void
+control::finish_publish(publish_ticket ticket, publish_result result, const judgement* judged)
+{
+  const std::string publish_id = publishes_.at(ticket).publish_id;
+  publishes_.erase(ticket);
+  answer_publish answer{ ticket, result, {}, ledger_.current()->number, {}, {} };
+  if (judged != nullptr) {
+    answer.earlier = judged->result;
+    answer.version = judged->version;
+    answer.error = judged->error;
+  }
+  if (result == publish_result::conflict) {
+    for (const judgement& item : ledger_.judgements()) {
+      if (item.result == verdict::accepted) {
+        answer.since.push_back(item);
+      }
+    }
+  }
+  log(log_event::publish,
+      { { "publish_id", publish_id },
+        { "result", enum_name(result) },
+        { "version", answer.version } });
+  add(std::move(answer));
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/control_thread.cpp
@@ -0,0 +1,297 @@
+// The control thread: performs the effects of the control state.
+#include "control_thread_base.h"
+
+#include <QHostAddress>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Time for a control link to open. */
+static constexpr int LINK_CONNECT_TIMEOUT_MS = 2000;
+
+/** Bounds of the interval of control ticks. */
+static constexpr std::int64_t TICK_MIN_MS = 10;
+static constexpr std::int64_t TICK_MAX_MS = 100;
+
+/** Ticks in one heartbeat interval, within those bounds. */
+static constexpr std::int64_t TICKS_PER_HEARTBEAT = 10;
+
+/** Interval of looking whether the open requests are done. */
+static constexpr int DRAIN_CHECK_MS = 100;
+
+/** Time in which callers and peers learn that the node is leaving, before its ports close. */
+static constexpr mono_ms LEAVE_NOTICE_MS = 1000;
+
+control_thread::control_thread(settings options)
+  : options_(std::move(options))
+{
+}
+
+control_thread::~control_thread()
+{
+  ticks_.stop();
+  drain_checks_.stop();
+  sockets_.clear();
+}
+
+leaf::result<std::uint16_t>
+control_thread::open_port(listener& port, std::int64_t number, std::string_view key)
+{
+  const QHostAddress host(QString::fromStdString(options_.host));
+  if (!port.listen(host, static_cast<quint16>(number))) {
+    return leaf::new_error(setting_error{ std::string(key), setting_fault::bad_value });
+  }
+  return port.serverPort();
+}
+
+/** Logs that a port is open. */
+static void
+log_port(std::string_view edge, const std::string& host, std::uint16_t port)
+{
+  write_log(log_event::listening, { { "edge", edge }, { "host", host }, { "port", port } });
+}
+
+leaf::result<void>
+control_thread::start()
+{
+  const instant now = read_clocks();
+  server_ = std::make_unique<server_thread>(options_);
+  if (server_->port() == 0) {
+    return leaf::new_error(setting_error{ "traffic_port", setting_fault::bad_value });
+  }
+  BOOST_LEAF_AUTO(control_port, open_port(control_port_, options_.control_port, "control_port"));
+  BOOST_LEAF_AUTO(callers_port, open_port(callers_port_, options_.callers_port, "callers_port"));
+  member_record own;
+  own.id = options_.node_id;
+  own.incarnation = static_cast<std::uint64_t>(now.unix);
+  own.state = member_state::alive;
+  own.region = options_.region;
+  own.zone = options_.zone;
+  own.control = { options_.host, control_port };
+  own.traffic_port = server_->port();
+  state_ = std::make_unique<control>(options_, own, now);
+  operators_ = std::make_unique<operators_port>(options_, *state_);
+  operators_->on_publish = [this](publish_requested&& event) { raise(event); };
+  operators_->on_server = [this](const announcement& item) {
+    server_at_ = item.at;
+    server_->set_server(item.at, item.card);
+    raise(server_announced{ item.card });
+  };
+  operators_->on_drain = [this] { leave(); };
+  const std::uint16_t operators = operators_->listen();
+  if (operators == 0) {
+    return leaf::new_error(setting_error{ "operators_port", setting_fault::bad_value });
+  }
+  log_ = std::make_unique<log_client>(options_.log_url, options_.log_timeout_ms);
+  const member_view_ptr view = state_->members().build_view();
+  server_->set_version(state_->config().current());
+  server_->set_members(view);
+  for (std::int64_t i = 0; i < options_.edge_threads; ++i) {
+    edges_.push_back(std::make_unique<edge_thread>(
+      options_, static_cast<std::size_t>(i), state_->config().current(), view));
+  }
+  callers_port_.on_connection = [this](qintptr descriptor) {
+    edges_[next_edge_++ % edges_.size()]->accept(descriptor);
+  };
+  control_port_.on_connection = [this](qintptr descriptor) { accept(descriptor); };
+  log_port("control", options_.host, control_port);
+  log_port("traffic", options_.host, server_->port());
+  log_port("operators", options_.host, operators);
+  log_port("callers", options_.host, callers_port);
+  QObject::connect(&ticks_, &QTimer::timeout, &ticks_, [this] { raise(control_tick{}); });
+  ticks_.start(static_cast<int>(
+    std::clamp(options_.heartbeat_ms / TICKS_PER_HEARTBEAT, TICK_MIN_MS, TICK_MAX_MS)));
+  QObject::connect(&drain_checks_, &QTimer::timeout, &drain_checks_, [this] { check_drained(); });
+  write_log(
+    log_event::started,
+    { { "node", options_.node_id }, { "zone", options_.zone }, { "region", options_.region } });
+  raise(control_tick{});
+  return {};
+}
+
+void
+control_thread::raise(const control_event& event)
+{
+  for (const control_effect& effect : state_->handle(event, read_clocks())) {
+    perform(effect);
+  }
+}
+
+void
+control_thread::perform(const control_effect& effect)
+{
+  std::visit(overloaded{
+               [&](const open_link& item) { open(item); },
+               [&](const close_link& item) { drop_socket(item.link); },
+               [&](const send_control& item) { send(item); },
+               [&](const read_log& item) { read(item); },
+               [&](const append_log& item) { append(item); },
+               [&](const answer_publish& item) { operators_->answer(item); },
+               [&](const apply_version& item) {
+                 server_->set_version(item.version);
+                 for (const auto& edge : edges_) {
+                   edge->set_version(item.version);
+                 }
+               },
+               [&](const apply_members& item) {
+                 server_->set_members(item.view);
+                 for (const auto& edge : edges_) {
+                   edge->set_members(item.view);
+                 }
+                 server_->set_server(server_at_, state_->members().own().server);
+               },
+               [&](const apply_lease& item) { server_->set_lease(item.until); },
+               [&](const log_control& item) { write_log(item.event, item.fields); },
+             },
+             effect);
+}
+
+void
+control_thread::watch_link(link_id id, framed_socket& socket)
+{
+  socket.on_frame = [this, id](frame&& from) { take_frame(id, std::move(from)); };
+  socket.on_end = [this, id](link_end why) {
+    drop_socket(id);
+    raise(link_ended{ id, why });
+  };
+}
+
+void
+control_thread::open(const open_link& effect)
+{
+  auto socket = std::make_unique<framed_socket>(
+    frame_limits{ CONTROL_FRAME_BYTES_MAX, CONTROL_FRAME_BYTES_MAX });
+  watch_link(effect.link, *socket);
+  socket->on_open = [this, id = effect.link] { raise(link_opened{ id, true }); };
+  socket->connect_to(effect.to, LINK_CONNECT_TIMEOUT_MS);
+  sockets_[effect.link] = std::move(socket);
+}
+
+void
+control_thread::accept(qintptr descriptor)
+{
+  const link_id id = next_accepted_;
+  next_accepted_ += 2;
+  auto socket = std::make_unique<framed_socket>(
+    frame_limits{ CONTROL_FRAME_BYTES_MAX, CONTROL_FRAME_BYTES_MAX });
+  watch_link(id, *socket);
+  socket->accept(descriptor);
+  sockets_[id] = std::move(socket);
+  raise(link_opened{ id, false });
+}
+
+void
+control_thread::drop_socket(link_id id)
+{
+  const auto found = sockets_.find(id);
+  if (found == sockets_.end()) {
+    return;
+  }
+  std::shared_ptr<framed_socket> socket = std::move(found->second);
+  sockets_.erase(found);
+  socket->close();
+  // What was sent last leaves before the socket goes; it may also be calling right now.
+  QTimer::singleShot(LINK_CONNECT_TIMEOUT_MS, &ticks_, [socket] {});
+}
+
+void
+control_thread::take_frame(link_id id, frame&& from)
+{
+  const auto socket = sockets_.find(id);
+  if (socket == sockets_.end()) {
+    return;
+  }
+  count(counter_id::control_bytes_read, from.head.size() + from.payload.size());
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(message, parse_control(from));
+      raise(message_arrived{ id, std::move(message) });
+      return {};
+    },
+    [&](const frame_error& error) { socket->second->refuse(error); },
+    [&] { socket->second->refuse({ frame_fault::bad_message }); });
+}
+
+void
+control_thread::send(const send_control& effect)
+{
+  const auto socket = sockets_.find(effect.link);
+  if (socket != sockets_.end()) {
+    const std::string bytes = encode_control(effect.message);
+    count(counter_id::control_bytes_sent, bytes.size());
+    if (effect.crosses_region) {
+      count(counter_id::region_bytes_sent, bytes.size());
+    }
+    socket->second->send(bytes);
+  }
+}
+
+void
+control_thread::read(const read_log& effect)
+{
+  log_->read(effect.stream,
+             effect.from,
+             effect.limit,
+             effect.wait_ms,
+             [this, purpose = effect.purpose](log_answer answer) {
+               raise(log_answered{ purpose, 0, std::move(answer) });
+             });
+}
+
+void
+control_thread::append(const append_log& effect)
+{
+  log_->append(effect.stream,
+               effect.bytes,
+               [this, purpose = effect.purpose, publish = effect.publish](log_answer answer) {
+                 raise(log_answered{ purpose, publish, std::move(answer) });
+               });
+}
+
+void
+control_thread::leave()
+{
+  if (leaving_since_ != 0) {
+    std::size_t open = server_->open_requests();
+    for (const auto& edge : edges_) {
+      open += edge->open_requests();
+    }
+    write_log(log_event::draining, { { "state", "cut" }, { "open", open } });
+    on_stopped();
+    return;
+  }
+  leaving_since_ = read_clocks().mono;
+  raise(leave_requested{ false });
+  server_->start_draining();
+  for (const auto& edge : edges_) {
+    edge->start_draining();
+  }
+  drain_checks_.start(DRAIN_CHECK_MS);
+}
+
+void
+control_thread::check_drained()
+{
+  const mono_ms since = read_clocks().mono - leaving_since_;
+  if (since < LEAVE_NOTICE_MS) {
+    return;
+  }
+  std::size_t open = server_->open_requests();
+  for (const auto& edge : edges_) {
+    open += edge->open_requests();
+  }
+  const bool is_over = options_.drain_timeout_ms > 0 && since > options_.drain_timeout_ms;
+  if (open > 0 && !is_over) {
+    return;
+  }
+  drain_checks_.stop();
+  raise(leave_requested{ true });
+  write_log(log_event::stopped, { { "node", options_.node_id }, { "cut", open } });
+  // Lets the last messages leave.
+  QTimer::singleShot(DRAIN_CHECK_MS, &ticks_, [this] { on_stopped(); });
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/edge_thread.cpp
@@ -0,0 +1,334 @@
+// A traffic thread that serves callers.
+#include "edge_thread_base.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Time for a link to a node to open. */
+static constexpr int LINK_CONNECT_TIMEOUT_MS = 1000;
+
+edge_thread::edge_thread(const settings& options,
+                         std::size_t index,
+                         compiled_version_ptr version,
+                         member_view_ptr view)
+  : options_(options)
+  , request_prefix_(options.node_id + "." + std::to_string(index) + "." +
+                    std::to_string(read_clocks().unix) + ".")
+  , version_(std::move(version))
+{
+  edge_.self = options.node_id;
+  edge_.view = std::move(view);
+  edge_.random.seed(static_cast<std::uint64_t>(read_clocks().unix) + index);
+  edge_.window_bytes = options.stream_window_bytes;
+  thread_.run([this] { context_ = std::make_unique<QObject>(); });
+}
+
+edge_thread::~edge_thread()
+{
+  thread_.run([this] {
+    callers_.clear();
+    links_.clear();
+    context_.reset();
+  });
+}
+
+void
+edge_thread::accept(qintptr descriptor)
+{
+  thread_.post([this, descriptor] { accept_here(descriptor); });
+}
+
+void
+edge_thread::set_version(compiled_version_ptr version)
+{
+  thread_.post([this, version = std::move(version)] { version_ = version; });
+}
+
+void
+edge_thread::set_members(member_view_ptr view)
+{
+  thread_.post([this, view = std::move(view)] {
+    edge_.view = view;
+    edge_.seen.forget_absent(*view);
+  });
+}
+
+std::size_t
+edge_thread::open_requests()
+{
+  std::size_t total = 0;
+  thread_.run([this, &total] {
+    total = static_cast<std::size_t>(
+      std::count_if(callers_.begin(), callers_.end(), [](const auto& item) {
+        return item.second.call != nullptr || item.second.session->unsent_bytes() > 0;
+      }));
+  });
+  return total;
+}
+
+void
+edge_thread::start_draining()
+{
+  thread_.post([this] { is_draining_ = true; });
+}
+
+void
+edge_thread::accept_here(qintptr descriptor)
+{
+  const caller_id id = next_caller_++;
+  caller& added = callers_[id];
+  added.session = std::make_unique<http_session>(
+    descriptor, static_cast<std::uint64_t>(options_.body_limit_bytes));
+  added.session->on_request = [this, id](whole_request&& request) {
+    take_request(id, std::move(request));
+  };
+  added.session->on_written = [this, id] { return_credit(id); };
+  added.session->on_gone = [this, id] {
+    const auto found = callers_.find(id);
+    found->second.is_gone = true;
+    raise(id, found->second.generation, caller_gone{});
+    drop_caller(id);
+  };
+}
+
+void
+edge_thread::drop_caller(caller_id id)
+{
+  // The session may be calling right now, so it is deleted from the event loop.
+  QMetaObject::invokeMethod(
+    context_.get(), [this, id] { callers_.erase(id); }, Qt::QueuedConnection);
+}
+
+void
+edge_thread::take_request(caller_id id, whole_request&& request)
+{
+  caller& owner = callers_.at(id);
+  if (is_draining_) {
+    owner.session->answer(effect_of(refusal::draining).status,
+                          { { std::string(OUTCOME_HEADER), "not-run" },
+                            { std::string(REASON_HEADER), "draining" },
+                            { "Retry-After", "1" } },
+                          "");
+    return;
+  }
+  ++owner.generation;
+  owner.attempts.clear();
+  owner.owed_credit = 0;
+  owner.call = std::make_unique<call_state>();
+  owner.call->id = request_prefix_ + std::to_string(next_request_++);
+  owner.call->head = std::move(request.head);
+  owner.call->body = std::move(request.body);
+  owner.call->version = version_;
+  raise(id, owner.generation, call_started{});
+}
+
+void
+edge_thread::raise(caller_id id, std::uint64_t generation, const call_event& event)
+{
+  const auto found = callers_.find(id);
+  if (found == callers_.end() || !found->second.call || found->second.generation != generation) {
+    return;
+  }
+  const std::vector<call_effect> effects =
+    handle_call_event(*found->second.call, event, edge_, read_clocks().mono);
+  for (const call_effect& effect : effects) {
+    perform(id, effect);
+  }
+}
+
+void
+edge_thread::perform(caller_id id, const call_effect& effect)
+{
+  caller& owner = callers_.at(id);
+  std::visit(overloaded{
+               [&](const open_attempt& item) { open(id, item); },
+               [&](const cancel_attempt& item) { cancel(owner, item); },
+               [&](const grant_credit& item) { credit(owner, item); },
+               [&](const send_head& item) { owner.session->start_answer(item.head); },
+               [&](const send_data& item) {
+                 owner.owed_credit += static_cast<std::int64_t>(item.bytes.size());
+                 owner.session->send_body(item.bytes);
+               },
+               [&](const finish_answer&) { owner.session->finish_answer(); },
+               [&](const refuse_caller& item) { refuse(owner, item); },
+               [&](const break_caller&) { owner.session->abort(); },
+               [&](const start_timer& item) {
+                 const std::uint64_t generation = owner.generation;
+                 QTimer::singleShot(
+                   static_cast<int>(item.delay_ms),
+                   context_.get(),
+                   [this, id, generation, event = item.event] { raise(id, generation, event); });
+               },
+               [&](const log_line& item) { write_log(item.event, item.fields); },
+               [&](const call_done&) { end_call(id); },
+             },
+             effect);
+}
+
+void
+edge_thread::end_call(caller_id id)
+{
+  caller& owner = callers_.at(id);
+  observe_request_seconds(static_cast<double>(read_clocks().mono - owner.call->started_at) / 1000);
+  for (const auto& [name, call] : owner.attempts) {
+    const auto link = links_.find(name);
+    if (link != links_.end()) {
+      link->second.calls.erase(call);
+    }
+  }
+  owner.call.reset();
+}
+
+edge_thread::traffic_link&
+edge_thread::link_to(const std::string& name, const member_record& node)
+{
+  traffic_link& link = links_[name];
+  if (!link.socket) {
+    link.socket = std::make_unique<framed_socket>(
+      frame_limits{ TRAFFIC_HEAD_BYTES_MAX, CONTROL_FRAME_BYTES_MAX });
+    link.socket->on_frame = [this, name](frame&& from) { take_frame(name, std::move(from)); };
+    link.socket->on_end = [this, name](link_end why) { end_link(name, why); };
+    link.socket->connect_to({ node.control.host, node.traffic_port }, LINK_CONNECT_TIMEOUT_MS);
+  }
+  return link;
+}
+
+void
+edge_thread::open(caller_id id, const open_attempt& effect)
+{
+  caller& owner = callers_.at(id);
+  const auto node = edge_.view->members.find(effect.node);
+  const std::string name = effect.node + "/" + std::to_string(node->second.incarnation) + "/" +
+                           std::string(enum_name(effect.message.kind));
+  traffic_link& link = link_to(name, node->second);
+  call_open message = effect.message;
+  message.id = link.next_call++;
+  link.calls[message.id] = { id, owner.generation, effect.attempt };
+  owner.attempts.emplace_back(name, message.id);
+  link.socket->send(encode_traffic(message));
+}
+
+void
+edge_thread::cancel(caller& owner, const cancel_attempt& effect)
+{
+  const auto& [name, call] = owner.attempts.at(effect.attempt);
+  const auto link = links_.find(name);
+  if (link != links_.end() && link->second.calls.erase(call) > 0) {
+    link->second.socket->send(encode_traffic(call_cancel{ call }));
+  }
+}
+
+void
+edge_thread::credit(caller& owner, const grant_credit& effect)
+{
+  const auto& [name, call] = owner.attempts.at(effect.attempt);
+  const auto link = links_.find(name);
+  if (link != links_.end()) {
+    link->second.socket->send(encode_traffic(call_credit{ call, effect.bytes }));
+  }
+}
+
+void
+edge_thread::return_credit(caller_id id)
+{
+  caller& owner = callers_.at(id);
+  const std::int64_t left = owner.owed_credit - owner.session->unsent_bytes();
+  if (left < edge_.window_bytes / 4) {
+    return;
+  }
+  owner.owed_credit -= left;
+  raise(id, owner.generation, caller_read{ left });
+}
+
+void
+edge_thread::refuse(caller& owner, const refuse_caller& effect)
+{
+  const refusal_row& row = effect_of(effect.reason);
+  static constexpr unsigned BAD_GATEWAY = 502;
+  const bool shows_row = effect.result == row.result;
+  const unsigned status = shows_row ? row.status : BAD_GATEWAY;
+  std::vector<http_header> headers = {
+    { std::string(OUTCOME_HEADER), std::string(enum_name(effect.result)) },
+    { std::string(REASON_HEADER), std::string(enum_name(effect.reason)) },
+  };
+  if (row.retry_after_s > 0 && effect.result == outcome::not_run) {
+    headers.push_back({ "Retry-After", std::to_string(row.retry_after_s) });
+  }
+  owner.session->answer(status, headers, "");
+}
+
+void
+edge_thread::take_frame(const std::string& name, frame&& from)
+{
+  traffic_link& link = links_.at(name);
+  std::optional<frame_error> refused;
+  const traffic_message message =
+    leaf::try_handle_all([&] { return parse_traffic(std::move(from)); },
+                         [&](const frame_error& error) {
+                           refused = error;
+                           return traffic_message(call_cancel{});
+                         },
+                         [&] {
+                           refused = frame_error{ frame_fault::bad_message };
+                           return traffic_message(call_cancel{});
+                         });
+  if (refused) {
+    link.socket->refuse(*refused);
+    return;
+  }
+  const call_id call = std::visit([](const auto& item) { return item.id; }, message);
+  const auto found = link.calls.find(call);
+  if (found == link.calls.end()) {
+    return; // A late answer to a call that was given up.
+  }
+  const call_target target = found->second;
+  const auto pass_on = [&](const call_event& event) {
+    raise(target.owner, target.generation, event);
+  };
+  std::visit(
+    overloaded{
+      [&](const answer_head& item) {
+        pass_on(attempt_head{ target.attempt, item.head, item.load });
+      },
+      [&](const answer_data& item) {
+        pass_on(attempt_data{ target.attempt, item.bytes });
+      },
+      [&](const answer_end& item) {
+        link.calls.erase(call);
+        pass_on(attempt_end{ target.attempt, item.total_bytes, item.load });
+      },
+      [&](const call_refused& item) {
+        link.calls.erase(call);
+        pass_on(attempt_refused{ target.attempt, item.reason, item.result, item.load, true });
+      },
+      [](const auto&) {},
+    },
+    message);
+}
+
+void
+edge_thread::end_link(const std::string& name, link_end why)
+{
+  const auto found = links_.find(name);
+  // The socket is calling right now, so it is deleted from the event loop.
+  std::shared_ptr<framed_socket> socket = std::move(found->second.socket);
+  QMetaObject::invokeMethod(
+    context_.get(), [socket] {}, Qt::QueuedConnection);
+  const auto calls = std::move(found->second.calls);
+  links_.erase(found);
+  const bool never_left = why == link_end::not_connected;
+  for (const auto& [call, target] : calls) {
+    raise(target.owner,
+          target.generation,
+          attempt_refused{ target.attempt,
+                           never_left ? refusal::unreachable : refusal::link_lost,
+                           never_left ? outcome::not_run : outcome::unknown,
+                           {},
+                           false });
+  }
+}
+
+} // namespace shallotfield
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -110,6 +110,22 @@
   return record;
 }
 
+std::optional<member_record>
+membership::renew_own(instant now)
+{
+  member_record record = own();
+  ++record.sequence;
+  store(record, now);
+  return record;
+}
+
+std::optional<unix_ms>
+membership::gone_since(const node_id& id) const
+{
+  const auto found = gone_since_.find(id);
+  return found == gone_since_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void
 membership::note_own_return(instant now)
 {
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -59,6 +59,20 @@
                                           const server_card& server,
                                           instant now);
 
+  /**
+   * Publishes the node's own record again with a higher sequence.
+   * @param now When.
+   * @return The record to pass on.
+   */
+  std::optional<member_record> renew_own(instant now);
+
+  /**
+   * Tells since when a node counts as gone or left here.
+   * @param id The node.
+   * @return Unix ms; or nothing if it doesn't.
+   */
+  std::optional<unix_ms> gone_since(const node_id& id) const;
+
   /**
    * Notes that the node's own server takes work again after others took its place.
    * @param now When.
--- /dev/null
+++ b/src/process/operators_port.cpp
@@ -0,0 +1,326 @@
+// The operators' HTTP port.
+#include "operators_port_base.h"
+
+#include <QHostAddress>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+/** Longest publish id or author. */
+static constexpr std::size_t TEXT_BYTES_MAX = 200;
+
+/** Most slots of a server. */
+static constexpr std::uint64_t SLOTS_MAX = 100'000;
+
+using status_code = QHttpServerResponder::StatusCode;
+
+/** Builds the error for a call. */
+static leaf::error_id
+refuse(operator_fault fault, std::string_view field)
+{
+  return leaf::new_error(operator_error{ fault, std::string(field) });
+}
+
+/** Parses a body that must be a JSON object. */
+static leaf::result<json>
+parse_object(std::string_view body)
+{
+  json value = leaf::try_handle_all([&] { return parse_bounded_json(body); },
+                                    [] { return json(json::value_t::discarded); });
+  if (!value.is_object()) {
+    return refuse(operator_fault::not_json, "");
+  }
+  return value;
+}
+
+/** Reads a short text. */
+static leaf::result<std::string>
+text_field(const json& object, std::string_view key)
+{
+  const auto value = object.find(key);
+  if (value == object.end() || !value->is_string()) {
+    return refuse(operator_fault::missing_field, key);
+  }
+  std::string text = value->get<std::string>();
+  if (text.empty() || text.size() > TEXT_BYTES_MAX) {
+    return refuse(operator_fault::bad_value, key);
+  }
+  return text;
+}
+
+/** Reads a number up to a maximum. */
+static leaf::result<std::uint64_t>
+number_field(const json& object, std::string_view key, std::uint64_t maximum)
+{
+  const auto value = object.find(key);
+  if (value == object.end() || !value->is_number_unsigned()) {
+    return refuse(operator_fault::missing_field, key);
+  }
+  const auto number = value->get<std::uint64_t>();
+  if (number > maximum) {
+    return refuse(operator_fault::bad_value, key);
+  }
+  return number;
+}
+
+leaf::result<publish_requested>
+parse_publish(std::string_view body)
+{
+  BOOST_LEAF_AUTO(value, parse_object(body));
+  publish_requested result;
+  BOOST_LEAF_ASSIGN(result.publish_id, text_field(value, "publish_id"));
+  BOOST_LEAF_ASSIGN(result.author, text_field(value, "author"));
+  if (value.contains("base_version")) {
+    BOOST_LEAF_ASSIGN(result.base_version, number_field(value, "base_version", UINT64_MAX));
+  }
+  if (!value.contains("document")) {
+    return refuse(operator_fault::missing_field, "document");
+  }
+  result.target = std::move(value["document"]);
+  return result;
+}
+
+leaf::result<announcement>
+parse_announcement(std::string_view body)
+{
+  BOOST_LEAF_AUTO(value, parse_object(body));
+  announcement result;
+  BOOST_LEAF_ASSIGN(result.card.service, text_field(value, "service"));
+  BOOST_LEAF_ASSIGN(result.at.host, text_field(value, "host"));
+  BOOST_LEAF_AUTO(port, number_field(value, "port", UINT16_MAX));
+  BOOST_LEAF_AUTO(slots, number_field(value, "slots", SLOTS_MAX));
+  BOOST_LEAF_AUTO(name, text_field(value, "state"));
+  const std::optional<server_state> state = parse_enum<server_state>(name);
+  if (!state) {
+    return refuse(operator_fault::bad_value, "state");
+  }
+  if (QHostAddress(QString::fromStdString(result.at.host)).isNull() || port == 0) {
+    return refuse(operator_fault::bad_value, "host");
+  }
+  result.at.port = static_cast<std::uint16_t>(port);
+  result.card.slots = static_cast<std::uint32_t>(slots);
+  result.card.state = *state;
+  return result;
+}
+
+json
+status_to_json(const control& state, instant now)
+{
+  const compiled_version_ptr& current = state.config().current();
+  std::uint64_t alive = 0;
+  for (const auto& [id, record] : state.members().records()) {
+    alive += is_tombstone(record) ? 0 : 1;
+  }
+  const std::uint64_t heard = count_nodes(state.fleet());
+  json fleet = summary_to_json(state.fleet());
+  fleet["nodes"] = alive;
+  fleet["not_known"] = alive > heard ? alive - heard : 0;
+  return { { "node", state.members().own().id },
+           { "region", state.members().own().region },
+           { "zone", state.members().own().zone },
+           { "role", enum_name(state.plan().role) },
+           { "parent", state.plan().parent.value_or("") },
+           { "version", current->number },
+           { "digest", current->digest },
+           { "in_force_since", state.in_force_since() },
+           { "offset", state.config().offset() },
+           { "halted", state.is_halted() },
+           { "in_touch_ms", std::max<mono_ms>(0, state.lease_until() - now.mono) },
+           { "log_reachable", state.log().is_reachable },
+           { "log_gap", state.log().has_gap },
+           { "fleet", std::move(fleet) } };
+}
+
+json
+publish_to_json(const answer_publish& answer)
+{
+  json result = { { "result", enum_name(answer.result) }, { "version", answer.version } };
+  if (answer.result == publish_result::duplicate) {
+    result["verdict"] = enum_name(answer.earlier);
+  }
+  if (answer.error) {
+    result["field"] = answer.error->field;
+    result["fault"] = enum_name(answer.error->fault);
+  }
+  if (answer.result == publish_result::conflict) {
+    result["since"] = json::array();
+    for (const judgement& item : answer.since) {
+      result["since"].push_back(judgement_to_json(item));
+    }
+  }
+  return result;
+}
+
+/** Sends JSON. */
+static void
+send_json(QHttpServerResponder& responder, const json& value, status_code status)
+{
+  responder.write(
+    QByteArray::fromStdString(canonical_text(value) + "\n"), "application/json", status);
+}
+
+/** Sends the reason of a refusal. */
+static void
+send_error(QHttpServerResponder& responder, const operator_error& error)
+{
+  count(counter_id::inputs_refused);
+  write_log(
+    log_event::input_refused,
+    { { "edge", "operators" }, { "fault", enum_name(error.fault) }, { "field", error.field } });
+  const bool is_token = error.fault == operator_fault::no_token;
+  send_json(responder,
+            { { "error", enum_name(error.fault) }, { "field", error.field } },
+            is_token ? status_code::Unauthorized : status_code::BadRequest);
+}
+
+/** A request's body as a view. */
+static std::string_view
+body_of(const QByteArray& body)
+{
+  return { body.data(), static_cast<std::size_t>(body.size()) };
+}
+
+operators_port::operators_port(const settings& options, const control& state)
+  : options_(options)
+  , state_(state)
+{
+  add_reading_routes();
+  add_changing_routes();
+}
+
+std::uint16_t
+operators_port::listen()
+{
+  return server_.listen(QHostAddress(QString::fromStdString(options_.host)),
+                        static_cast<quint16>(options_.operators_port));
+}
+
+bool
+operators_port::has_token(const QHttpServerRequest& request) const
+{
+  return request.value("Authorization").toStdString() == "Bearer " + options_.operators_token;
+}
+
+void
+operators_port::add_reading_routes()
+{
+  server_.route("/metrics", QHttpServerRequest::Method::Get, [] {
+    return QHttpServerResponse("text/plain; version=0.0.4",
+                               QByteArray::fromStdString(metrics_text()));
+  });
+  server_.route("/v1/status",
+                QHttpServerRequest::Method::Get,
+                [this](const QHttpServerRequest&, QHttpServerResponder&& responder) {
+                  send_json(responder, status_to_json(state_, read_clocks()), status_code::Ok);
+                });
+  server_.route("/v1/config",
+                QHttpServerRequest::Method::Get,
+                [this](const QHttpServerRequest&, QHttpServerResponder&& responder) {
+                  const compiled_version_ptr& current = state_.config().current();
+                  send_json(responder,
+                            { { "version", current->number }, { "document", current->source } },
+                            status_code::Ok);
+                });
+  server_.route("/v1/history",
+                QHttpServerRequest::Method::Get,
+                [this](const QHttpServerRequest&, QHttpServerResponder&& responder) {
+                  json list = json::array();
+                  for (const judgement& item : state_.config().judgements()) {
+                    list.push_back(judgement_to_json(item));
+                  }
+                  send_json(responder, { { "judgements", std::move(list) } }, status_code::Ok);
+                });
+  server_.route("/v1/members",
+                QHttpServerRequest::Method::Get,
+                [this](const QHttpServerRequest&, QHttpServerResponder&& responder) {
+                  json list = json::array();
+                  for (const auto& [id, record] : state_.members().records()) {
+                    list.push_back(member_to_json(record));
+                  }
+                  send_json(responder, { { "members", std::move(list) } }, status_code::Ok);
+                });
+}
+
+void
+operators_port::add_changing_routes()
+{
+  server_.route("/v1/publish",
+                QHttpServerRequest::Method::Post,
+                [this](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                  take_publish(request, std::move(responder));
+                });
+  server_.route("/v1/server",
+                QHttpServerRequest::Method::Post,
+                [this](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                  take_server(request, std::move(responder));
+                });
+  server_.route("/v1/drain",
+                QHttpServerRequest::Method::Post,
+                [this](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                  if (!has_token(request)) {
+                    send_error(responder, { operator_fault::no_token, "" });
+                    return;
+                  }
+                  send_json(responder, { { "result", "draining" } }, status_code::Ok);
+                  on_drain();
+                });
+}
+
+void
+operators_port::take_publish(const QHttpServerRequest& request, QHttpServerResponder&& responder)
+{
+  if (!has_token(request)) {
+    send_error(responder, { operator_fault::no_token, "" });
+    return;
+  }
+  const QByteArray body = request.body();
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(event, parse_publish(body_of(body)));
+      event.publish = next_publish_++;
+      responders_.emplace(event.publish, std::move(responder));
+      on_publish(std::move(event));
+      return {};
+    },
+    [&](const operator_error& error) { send_error(responder, error); },
+    [&] {
+      send_error(responder, { operator_fault::not_json, "" });
+    });
+}
+
+void
+operators_port::answer(const answer_publish& answer)
+{
+  const auto found = responders_.find(answer.publish);
+  if (found != responders_.end()) {
+    send_json(found->second, publish_to_json(answer), status_code::Ok);
+    responders_.erase(found);
+  }
+}
+
+void
+operators_port::take_server(const QHttpServerRequest& request, QHttpServerResponder&& responder)
+{
+  if (!has_token(request)) {
+    send_error(responder, { operator_fault::no_token, "" });
+    return;
+  }
+  const QByteArray body = request.body();
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(value, parse_announcement(body_of(body)));
+      on_server(value);
+      send_json(responder, { { "result", "noted" } }, status_code::Ok);
+      return {};
+    },
+    [&](const operator_error& error) { send_error(responder, error); },
+    [&] {
+      send_error(responder, { operator_fault::not_json, "" });
+    });
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/server_thread.cpp
@@ -0,0 +1,675 @@
+// The traffic thread beside the backend server.
+#include "server_thread_base.h"
+
+#include <QHostAddress>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Interval of the thread's tick: queue deadlines, pacing, old keys. */
+static constexpr int TICK_MS = 20;
+
+/** Time for a connection to the server, which stands on the same VM, to open. */
+static constexpr int SERVER_CONNECT_TIMEOUT_MS = 1000;
+
+/** Time for a former home to answer. */
+static constexpr int KEY_CHECK_TIMEOUT_MS = 500;
+
+/** Idle time after which a connection isn't used for work that must not run twice: the server may
+ * be closing it, and a request that it drops could not be told from one that ran. */
+static constexpr mono_ms FRESH_IDLE_MS = 500;
+
+/** Idle time after which a connection is closed. */
+static constexpr mono_ms IDLE_MAX_MS = 10'000;
+
+/** Most idle connections that are kept. */
+static constexpr std::size_t IDLE_CLIENTS_MAX = 64;
+
+/** Header that tells the server the Unix time in ms after which it must not start a request. */
+static constexpr std::string_view NOT_AFTER_HEADER = "Shallotfield-Not-After-Ms";
+
+server_thread::server_thread(const settings& options)
+  : options_(options)
+  , admission_({ options.queue_limit, options.bulk_slots_percent })
+  , keys_(options.key_window_ms)
+{
+  thread_.run([this] {
+    listener_ = std::make_unique<listener>();
+    listener_->on_connection = [this](qintptr descriptor) { accept(descriptor); };
+    const QHostAddress host(QString::fromStdString(options_.host));
+    if (listener_->listen(host, static_cast<quint16>(options_.traffic_port))) {
+      port_ = listener_->serverPort();
+    }
+    timer_ = std::make_unique<QTimer>();
+    QObject::connect(timer_.get(), &QTimer::timeout, timer_.get(), [this] { tick(); });
+    timer_->start(TICK_MS);
+  });
+}
+
+server_thread::~server_thread()
+{
+  thread_.run([this] {
+    listener_.reset();
+    sessions_.clear();
+    calls_.clear();
+    checks_.clear();
+    idle_.clear();
+    timer_.reset();
+  });
+}
+
+void
+server_thread::set_server(const endpoint& at, const server_card& card)
+{
+  thread_.post([this, at, card] {
+    if (at != server_at_) {
+      idle_.clear();
+    }
+    server_at_ = at;
+    service_ = card.service;
+    raise(admission_server{ card });
+  });
+}
+
+void
+server_thread::set_members(member_view_ptr view)
+{
+  thread_.post([this, view = std::move(view)] { view_ = view; });
+}
+
+void
+server_thread::set_version(compiled_version_ptr version)
+{
+  thread_.post([this, version = std::move(version)] { version_ = version; });
+}
+
+void
+server_thread::set_lease(mono_ms until)
+{
+  thread_.post([this, until] { lease_until_ = until; });
+}
+
+void
+server_thread::start_draining()
+{
+  thread_.post([this] { raise(admission_close{}); });
+}
+
+std::size_t
+server_thread::open_requests()
+{
+  std::size_t total = 0;
+  thread_.run([this, &total] {
+    total = calls_.size();
+    for (const auto& [id, session] : sessions_) {
+      total += session.socket->unsent_bytes() > 0 ? 1 : 0;
+    }
+  });
+  return total;
+}
+
+void
+server_thread::defer_delete(std::shared_ptr<void> object)
+{
+  QMetaObject::invokeMethod(
+    timer_.get(), [object] {}, Qt::QueuedConnection);
+}
+
+void
+server_thread::accept(qintptr descriptor)
+{
+  const session_id id = next_id_++;
+  edge_session& session = sessions_[id];
+  session.socket = std::make_unique<framed_socket>(
+    frame_limits{ TRAFFIC_HEAD_BYTES_MAX,
+                  TRAFFIC_HEAD_BYTES_MAX + static_cast<std::size_t>(options_.body_limit_bytes) });
+  session.socket->on_frame = [this, id](frame&& from) { take_frame(id, std::move(from)); };
+  session.socket->on_end = [this, id](link_end) { end_session(id); };
+  session.socket->accept(descriptor);
+}
+
+void
+server_thread::end_session(session_id id)
+{
+  edge_session& session = sessions_.at(id);
+  const auto calls = std::move(session.calls);
+  for (const auto& [call, number] : calls) {
+    sessions_.at(id).calls[call] = number;
+    take_cancel(id, call);
+  }
+  defer_delete(std::shared_ptr<framed_socket>(std::move(session.socket)));
+  sessions_.erase(id);
+}
+
+void
+server_thread::send(const server_call& call, const traffic_message& message)
+{
+  const auto session = sessions_.find(call.session);
+  if (call.is_wanted && session != sessions_.end()) {
+    session->second.socket->send(encode_traffic(message));
+  }
+}
+
+void
+server_thread::take_frame(session_id id, frame&& from)
+{
+  std::optional<frame_error> refused;
+  traffic_message message = leaf::try_handle_all([&] { return parse_traffic(std::move(from)); },
+                                                 [&](const frame_error& error) {
+                                                   refused = error;
+                                                   return traffic_message(call_cancel{});
+                                                 },
+                                                 [&] {
+                                                   refused =
+                                                     frame_error{ frame_fault::bad_message };
+                                                   return traffic_message(call_cancel{});
+                                                 });
+  if (refused) {
+    sessions_.at(id).socket->refuse(*refused);
+    return;
+  }
+  std::visit(overloaded{
+               [&](call_open& item) { take_call(id, std::move(item)); },
+               [&](const call_cancel& item) { take_cancel(id, item.id); },
+               [&](const call_credit& item) { take_credit(id, item); },
+               [&](const key_query& item) { take_key_query(id, item); },
+               [](const auto&) {},
+             },
+             message);
+}
+
+std::string
+server_thread::fingerprint(const call_open& request) const
+{
+  return sha256_hex(request.head.method + " " + request.head.target + "\n" + request.body);
+}
+
+void
+server_thread::take_call(session_id id, call_open&& request)
+{
+  const ticket number = next_id_++;
+  const mono_ms now = read_clocks().mono;
+  sessions_.at(id).calls[request.id] = number;
+  server_call& call = calls_[number];
+  call.session = id;
+  call.deadline = now + request.timeout_ms;
+  call.credit = request.window_bytes;
+  call.request = std::move(request);
+  const bool is_blocked_here =
+    version_ && is_blocked(version_->content.blocked_servers, options_.node_id);
+  if (is_blocked_here) {
+    refuse(number, refusal::blocked, outcome::not_run, 0);
+  } else if (call.request.service != service_) {
+    refuse(number, refusal::no_server, outcome::not_run, 0);
+  } else if (call.request.key.empty()) {
+    admit(number);
+  } else {
+    look_up_key(number);
+  }
+}
+
+void
+server_thread::look_up_key(ticket id)
+{
+  server_call& call = calls_.at(id);
+  const key_lookup found =
+    keys_.arrive(call.request.key, fingerprint(call.request), id, read_clocks().mono);
+  std::visit(overloaded{
+               [&](const key_first&) {
+                 call.is_key_owner = true;
+                 decide_key_permission(id);
+               },
+               [&](const key_replay& item) {
+                 count(counter_id::key_repeats);
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key }, { "verdict", "replayed" } });
+                 replay(id, item.answer);
+               },
+               [&](const key_joined&) {
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key }, { "verdict", "joined" } });
+               },
+               [&](const key_denied& item) {
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key },
+                             { "verdict", "denied" },
+                             { "reason", enum_name(item.reason) } });
+                 refuse(id, item.reason, effect_of(item.reason).result, 0);
+               },
+             },
+             found);
+}
+
+void
+server_thread::decide_key_permission(ticket id)
+{
+  const server_call& call = calls_.at(id);
+  const instant now = read_clocks();
+  const key_permission permission = view_ && version_
+                                      ? decide_key(*view_,
+                                                   options_.node_id,
+                                                   call.request.service,
+                                                   call.request.key,
+                                                   version_->content.blocked_servers,
+                                                   lease_until_ > now.mono,
+                                                   now.unix,
+                                                   { options_.key_window_ms, options_.settle_ms })
+                                      : key_permission(key_denied{ refusal::stale });
+  std::visit(overloaded{
+               [&](const key_allowed&) {
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key }, { "verdict", "allowed" } });
+                 admit(id);
+               },
+               [&](const key_consult& item) {
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key },
+                             { "verdict", "consult" },
+                             { "former", item.former.size() } });
+                 ask_former_homes(id, item.former);
+               },
+               [&](const key_denied& item) {
+                 write_log(log_event::key_decision,
+                           { { "key", call.request.key },
+                             { "verdict", "denied" },
+                             { "reason", enum_name(item.reason) } });
+                 refuse(id, item.reason, effect_of(item.reason).result, 0);
+               },
+             },
+             permission);
+}
+
+void
+server_thread::ask_former_homes(ticket id, const std::vector<node_id>& former)
+{
+  const std::string key = calls_.at(id).request.key;
+  calls_.at(id).queries_open = former.size();
+  for (const node_id& node : former) {
+    const member_record& record = view_->members.at(node);
+    const std::uint64_t check = next_id_++;
+    key_check& query = checks_[check];
+    query.asker = id;
+    query.socket = std::make_unique<framed_socket>(
+      frame_limits{ TRAFFIC_HEAD_BYTES_MAX, TRAFFIC_HEAD_BYTES_MAX });
+    query.socket->on_frame = [this, check](frame&& from) {
+      const key_claim claim = leaf::try_handle_all(
+        [&]() -> leaf::result<key_claim> {
+          BOOST_LEAF_AUTO(message, parse_traffic(std::move(from)));
+          const auto* reply = std::get_if<key_reply>(&message);
+          return reply != nullptr ? reply->claim : key_claim::seen;
+        },
+        [] { return key_claim::seen; });
+      end_key_check(check, claim);
+    };
+    query.socket->on_end = [this, check](link_end) { end_key_check(check, key_claim::seen); };
+    query.socket->connect_to({ record.control.host, record.traffic_port }, KEY_CHECK_TIMEOUT_MS);
+    query.socket->send(encode_traffic(key_query{ check, key }));
+    QTimer::singleShot(
+      KEY_CHECK_TIMEOUT_MS, timer_.get(), [this, check] { end_key_check(check, key_claim::seen); });
+  }
+}
+
+void
+server_thread::end_key_check(std::uint64_t check, key_claim claim)
+{
+  const auto found = checks_.find(check);
+  if (found == checks_.end()) {
+    return;
+  }
+  const ticket id = found->second.asker;
+  defer_delete(std::shared_ptr<framed_socket>(std::move(found->second.socket)));
+  checks_.erase(found);
+  const auto call = calls_.find(id);
+  if (call == calls_.end()) {
+    return;
+  }
+  if (claim == key_claim::seen) {
+    // No answer counts as seen: whoever is silent may have run it.
+    refuse(id, refusal::key_unresolved, outcome::unknown, 0);
+    return;
+  }
+  if (--call->second.queries_open == 0) {
+    admit(id);
+  }
+}
+
+void
+server_thread::take_key_query(session_id id, const key_query& query)
+{
+  const key_claim claim = keys_.query(query.key, read_clocks().mono);
+  write_log(log_event::key_decision,
+            { { "key", query.key }, { "verdict", "queried" }, { "claim", enum_name(claim) } });
+  sessions_.at(id).socket->send(encode_traffic(key_reply{ query.id, claim }));
+}
+
+void
+server_thread::admit(ticket id)
+{
+  const server_call& call = calls_.at(id);
+  raise(admission_arrival{ id, call.request.kind, call.request.customer, call.deadline });
+}
+
+void
+server_thread::raise(const admission_event& event)
+{
+  const mono_ms now = read_clocks().mono;
+  for (const admission_effect& effect : admission_.handle(event, now)) {
+    std::visit(overloaded{
+                 [&](const admission_start& item) {
+                   count(counter_id::admitted);
+                   write_log(log_event::admission,
+                             { { "ticket", item.id },
+                               { "verdict", "started" },
+                               { "running", admission_.report(now).running },
+                               { "waiting", admission_.report(now).waiting } });
+                   start(item.id);
+                 },
+                 [&](const admission_refuse& item) {
+                   count(counter_id::refused_at_server);
+                   write_log(log_event::admission,
+                             { { "ticket", item.id },
+                               { "verdict", "refused" },
+                               { "reason", enum_name(item.reason) } });
+                   refuse(item.id, item.reason, outcome::not_run, item.retry_after_ms);
+                 },
+               },
+               effect);
+  }
+}
+
+std::unique_ptr<http_client>
+server_thread::take_client(bool may_be_stale)
+{
+  const mono_ms now = read_clocks().mono;
+  while (!idle_.empty()) {
+    idle_client last = std::move(idle_.back());
+    idle_.pop_back();
+    if (may_be_stale || now - last.since < FRESH_IDLE_MS) {
+      return std::move(last.client);
+    }
+  }
+  return std::make_unique<http_client>(server_at_, SERVER_CONNECT_TIMEOUT_MS);
+}
+
+void
+server_thread::start(ticket id)
+{
+  server_call& call = calls_.at(id);
+  const instant now = read_clocks();
+  const bool has_key = !call.request.key.empty();
+  if (has_key && lease_until_ <= now.mono) {
+    // It waited for a slot and the lease ran out meanwhile.
+    finish(id, false);
+    refuse(id, refusal::stale, outcome::not_run, 0);
+    return;
+  }
+  call.is_admitted = true;
+  call.client = take_client(call.request.is_idempotent);
+  call.client->on_piece = [this, id](response_piece&& piece) { take_piece(id, std::move(piece)); };
+  call.client->on_failed = [this, id](client_failure why) { take_failure(id, why); };
+  call.client->on_idle_end = nullptr;
+  request_head head = call.request.head;
+  std::erase_if(head.headers, [](const http_header& header) {
+    return header.name == TIMEOUT_HEADER || header.name == NOT_AFTER_HEADER;
+  });
+  mono_ms time_left = call.deadline - now.mono;
+  head.headers.push_back({ std::string(TIMEOUT_HEADER), std::to_string(time_left) });
+  if (has_key) {
+    time_left = std::min(time_left, lease_until_ - now.mono);
+  }
+  head.headers.push_back({ std::string(NOT_AFTER_HEADER), std::to_string(now.unix + time_left) });
+  call.client->send(head, call.request.body);
+}
+
+void
+server_thread::take_piece(ticket id, response_piece&& piece)
+{
+  server_call& call = calls_.at(id);
+  const mono_ms now = read_clocks().mono;
+  if (piece.head) {
+    static constexpr unsigned UNAVAILABLE = 503;
+    const std::string* word = find_header(piece.head->headers, OUTCOME_HEADER);
+    const bool was_not_run =
+      piece.head->status == UNAVAILABLE && word != nullptr && *word == enum_name(outcome::not_run);
+    if (was_not_run) {
+      finish(id, false);
+      refuse(id, refusal::shed, outcome::not_run, 0);
+      return;
+    }
+    if (call.is_key_owner) {
+      call.kept = kept_answer{ *piece.head, {} };
+    }
+    send(call, answer_head{ call.request.id, *piece.head, admission_.report(now) });
+  }
+  if (!piece.body.empty()) {
+    call.sent_bytes += piece.body.size();
+    call.credit -= static_cast<std::int64_t>(piece.body.size());
+    if (is_paced(call)) {
+      pace_bytes_ -= static_cast<std::int64_t>(piece.body.size());
+    }
+    if (call.kept && call.kept->body.size() <= KEPT_ANSWER_BYTES_MAX) {
+      call.kept->body += piece.body;
+    }
+    send(call, answer_data{ call.request.id, std::move(piece.body) });
+  }
+  if (piece.is_done) {
+    const bool keeps_connection = piece.keep_alive;
+    finish(id, keeps_connection);
+    send(call, answer_end{ call.request.id, call.sent_bytes, admission_.report(now) });
+    settle_key(id, refusal::answer_cut, outcome::answered);
+    const auto session = sessions_.find(call.session);
+    if (session != sessions_.end()) {
+      session->second.calls.erase(call.request.id);
+    }
+    calls_.erase(id);
+    return;
+  }
+  call.is_paced_out = is_paced(call) && pace_bytes_ <= 0;
+  const bool holds_up = call.is_wanted && (call.credit <= 0 || call.is_paced_out);
+  call.client->pause(holds_up);
+}
+
+void
+server_thread::take_failure(ticket id, client_failure why)
+{
+  finish(id, false);
+  switch (why) {
+    case client_failure::never_sent:
+      refuse(id, refusal::unreachable, outcome::not_run, 0);
+      break;
+    case client_failure::no_answer:
+      refuse(id, refusal::server_lost, outcome::unknown, 0);
+      break;
+    case client_failure::cut:
+    case client_failure::malformed:
+      refuse(id, refusal::answer_cut, outcome::unknown, 0);
+      break;
+  }
+}
+
+void
+server_thread::finish(ticket id, bool keeps_connection)
+{
+  server_call& call = calls_.at(id);
+  if (call.client && keeps_connection && idle_.size() < IDLE_CLIENTS_MAX) {
+    http_client* client = call.client.get();
+    client->on_idle_end = [this, client] {
+      for (auto item = idle_.begin(); item != idle_.end(); ++item) {
+        if (item->client.get() == client) {
+          defer_delete(std::shared_ptr<http_client>(std::move(item->client)));
+          idle_.erase(item);
+          return;
+        }
+      }
+    };
+    idle_.push_back({ std::move(call.client), read_clocks().mono });
+  } else if (call.client) {
+    call.client->abort();
+    defer_delete(std::shared_ptr<http_client>(std::move(call.client)));
+  }
+  raise(admission_finish{ id });
+}
+
+void
+server_thread::settle_key(ticket id, refusal reason, outcome result)
+{
+  server_call& call = calls_.at(id);
+  if (!call.is_key_owner) {
+    return;
+  }
+  call.is_key_owner = false;
+  switch (result) {
+    case outcome::answered: {
+      const std::optional<kept_answer> answer = call.kept;
+      end_joined(keys_.settle(call.request.key, *answer), answer, reason, result);
+      break;
+    }
+    case outcome::not_run:
+      end_joined(keys_.forget(call.request.key), std::nullopt, reason, result);
+      break;
+    case outcome::unknown:
+      // Before a slot nothing ran here: the key may be tried again.
+      end_joined(call.is_admitted ? keys_.lose(call.request.key) : keys_.forget(call.request.key),
+                 std::nullopt,
+                 reason,
+                 result);
+      break;
+  }
+}
+
+void
+server_thread::end_joined(const std::vector<ticket>& joined,
+                          const std::optional<kept_answer>& answer,
+                          refusal reason,
+                          outcome result)
+{
+  for (const ticket id : joined) {
+    if (!calls_.contains(id)) {
+      continue;
+    }
+    if (!answer) {
+      refuse(id, reason, result, 0);
+    } else if (answer->body.size() <= KEPT_ANSWER_BYTES_MAX) {
+      replay(id, *answer);
+    } else {
+      refuse(id, refusal::key_unresolved, outcome::unknown, 0);
+    }
+  }
+}
+
+void
+server_thread::replay(ticket id, const kept_answer& answer)
+{
+  const server_call& call = calls_.at(id);
+  const load_report load = admission_.report(read_clocks().mono);
+  send(call, answer_head{ call.request.id, answer.head, load });
+  if (!answer.body.empty()) {
+    send(call, answer_data{ call.request.id, answer.body });
+  }
+  send(call, answer_end{ call.request.id, answer.body.size(), load });
+  const auto session = sessions_.find(call.session);
+  if (session != sessions_.end()) {
+    session->second.calls.erase(call.request.id);
+  }
+  calls_.erase(id);
+}
+
+void
+server_thread::refuse(ticket id, refusal reason, outcome result, std::int64_t retry_after_ms)
+{
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  settle_key(id, reason, result);
+  server_call& call = found->second;
+  send(call,
+       call_refused{
+         call.request.id, reason, result, retry_after_ms, admission_.report(read_clocks().mono) });
+  const auto session = sessions_.find(call.session);
+  if (session != sessions_.end()) {
+    session->second.calls.erase(call.request.id);
+  }
+  calls_.erase(id);
+}
+
+void
+server_thread::take_cancel(session_id id, call_id number)
+{
+  edge_session& session = sessions_.at(id);
+  const auto found = session.calls.find(number);
+  if (found == session.calls.end()) {
+    return;
+  }
+  const ticket ticket_id = found->second;
+  session.calls.erase(found);
+  server_call& call = calls_.at(ticket_id);
+  call.is_wanted = false;
+  if (call.is_key_owner && call.is_admitted) {
+    call.client->pause(false);
+    return; // It runs on: the caller may come again for the answer.
+  }
+  if (call.is_admitted) {
+    finish(ticket_id, false);
+  } else {
+    raise(admission_cancel{ ticket_id });
+  }
+  settle_key(ticket_id, refusal::cancelled, call.is_admitted ? outcome::unknown : outcome::not_run);
+  calls_.erase(ticket_id);
+}
+
+void
+server_thread::take_credit(session_id id, const call_credit& credit)
+{
+  edge_session& session = sessions_.at(id);
+  const auto found = session.calls.find(credit.id);
+  if (found == session.calls.end() || credit.bytes < 0) {
+    return;
+  }
+  server_call& call = calls_.at(found->second);
+  call.credit = std::min(call.credit + credit.bytes, call.request.window_bytes);
+  if (call.client && call.credit > 0 && !call.is_paced_out) {
+    call.client->pause(false);
+  }
+}
+
+bool
+server_thread::is_paced(const server_call& call) const
+{
+  return call.request.kind == work_class::bulk && call.request.region != options_.region;
+}
+
+void
+server_thread::pace()
+{
+  const mono_ms now = read_clocks().mono;
+  const std::int64_t earned = options_.bulk_link_bytes_per_s * (now - paced_at_) / 1000;
+  paced_at_ = now;
+  // At most a tenth of a second's bytes gather, so that a burst doesn't fill the link's queue.
+  pace_bytes_ = std::min(pace_bytes_ + earned, options_.bulk_link_bytes_per_s / 10);
+  if (pace_bytes_ <= 0) {
+    return;
+  }
+  for (auto& [id, call] : calls_) {
+    if (call.is_paced_out && call.client) {
+      call.is_paced_out = false;
+      if (call.credit > 0) {
+        call.client->pause(false);
+      }
+    }
+  }
+}
+
+void
+server_thread::tick()
+{
+  const mono_ms now = read_clocks().mono;
+  raise(admission_tick{});
+  keys_.drop_old(now);
+  std::erase_if(idle_, [now](const idle_client& item) { return now - item.since > IDLE_MAX_MS; });
+  pace();
+}
+
+} // namespace shallotfield
--- a/src/request/table/refusal_table.h
+++ b/src/request/table/refusal_table.h
@@ -17,7 +17,7 @@
 // clang-format off
 inline constexpr std::array<refusal_row, REFUSAL_ROWS.size()> REFUSAL_EFFECTS = { {
   { refusal::no_route,       outcome::not_run, 404, false, 0 },
-  { refusal::no_server,      outcome::not_run, 503, false, 1 },
+  { refusal::no_server,      outcome::not_run, 503, true,  1 },
   { refusal::unreachable,    outcome::not_run, 503, true,  1 },
   { refusal::queue_full,     outcome::not_run, 503, true,  1 },
   { refusal::too_late,       outcome::not_run, 503, true,  1 },
--- /dev/null
+++ b/standins/backend_server.cpp
@@ -0,0 +1,317 @@
+// Stand-in for a backend server: slots, service time, cold start, drain, shedding, cancellation,
+// deadlines, crash on a given request; counts executions by request key.
+#include "connection/connection.h"
+#include "process/process.h"
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTcpServer>
+#include <QTimer>
+#include <QUrlQuery>
+#include <cxxopts.hpp>
+#include <deque>
+#include <iostream>
+#include <unistd.h>
+
+using namespace shallotfield;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t BODY_LIMIT = 64U << 20U;
+constexpr std::int64_t PIECE_BYTES = 32 << 10;
+constexpr int ANNOUNCE_MS = 500;
+
+/** What the command line says. */
+struct server_options
+{
+  service_id service;
+  std::uint32_t slots = 0;
+  std::int64_t service_ms = 0;
+  std::string node; ///< Operators' port of the node beside it.
+  std::string token;
+};
+
+/** A request, from its arrival to its end. */
+struct job
+{
+  std::uint64_t id = 0;
+  whole_request request;
+  std::int64_t left = 0; ///< Bytes of the answer that are not written.
+  bool is_running = false;
+};
+
+/** A port that hands on descriptors. */
+class port : public QTcpServer
+{
+public:
+  std::function<void(qintptr)> on_connection;
+
+protected:
+  void incomingConnection(qintptr descriptor) override { on_connection(descriptor); }
+};
+
+/** The server. */
+class backend_server
+{
+public:
+  explicit backend_server(server_options options)
+    : options_(std::move(options))
+  {
+    port_.on_connection = [this](qintptr descriptor) { accept(descriptor); };
+    QObject::connect(&announce_timer_, &QTimer::timeout, &announce_timer_, [this] { announce(); });
+  }
+
+  std::uint16_t listen(std::uint16_t number)
+  {
+    port_.listen(QHostAddress::LocalHost, number);
+    announce_timer_.start(ANNOUNCE_MS);
+    announce();
+    return port_.serverPort();
+  }
+
+private:
+  using connection_id = std::uint64_t;
+
+  struct connection
+  {
+    std::unique_ptr<http_session> session;
+    std::optional<job> open;
+  };
+
+  void accept(qintptr descriptor)
+  {
+    const connection_id id = next_++;
+    connection& added = connections_[id];
+    added.session = std::make_unique<http_session>(descriptor, BODY_LIMIT);
+    added.session->on_request = [this, id](whole_request&& request) {
+      take(id, std::move(request));
+    };
+    added.session->on_written = [this, id] { write_more(id); };
+    added.session->on_gone = [this, id] { drop(id); };
+  }
+
+  void drop(connection_id id)
+  {
+    connection& gone = connections_.at(id);
+    if (gone.open) {
+      ++cancelled_;
+      running_ -= gone.open->is_running ? 1 : 0;
+      gone.open.reset();
+      run_next();
+    }
+    QMetaObject::invokeMethod(
+      &announce_timer_, [this, id] { connections_.erase(id); }, Qt::QueuedConnection);
+  }
+
+  static std::int64_t query_number(const std::string& target,
+                                   const char* key,
+                                   std::int64_t fallback)
+  {
+    const QUrlQuery query(QString::fromStdString(target).section('?', 1));
+    return query.hasQueryItem(key) ? query.queryItemValue(key).toLongLong() : fallback;
+  }
+
+  void take(connection_id id, whole_request&& request)
+  {
+    const std::string target = request.head.target;
+    if (target.starts_with("/control/")) {
+      control(id, target.substr(std::string_view("/control/").size()));
+      return;
+    }
+    if (target.find("/crash") != std::string::npos) {
+      _exit(1);
+    }
+    connections_.at(id).open = job{ next_++, std::move(request), 0, false };
+    if (sheds_ || (refuses_when_full_ && running_ >= options_.slots)) {
+      refuse(id);
+      return;
+    }
+    waiting_.push_back(id);
+    run_next();
+  }
+
+  void refuse(connection_id id)
+  {
+    connections_.at(id).open.reset();
+    connections_.at(id).session->answer(503, { { "Shallotfield-Outcome", "not-run" } }, "");
+  }
+
+  void run_next()
+  {
+    while (running_ < options_.slots && !waiting_.empty()) {
+      const connection_id id = waiting_.front();
+      waiting_.pop_front();
+      const auto found = connections_.find(id);
+      if (found != connections_.end() && found->second.open && !found->second.open->is_running) {
+        start(id);
+      }
+    }
+  }
+
+  void start(connection_id id)
+  {
+    job& open = *connections_.at(id).open;
+    const std::string* not_after =
+      find_header(open.request.head.headers, "Shallotfield-Not-After-Ms");
+    if (not_after != nullptr && read_clocks().unix > std::stoll(*not_after)) {
+      refuse(id);
+      return;
+    }
+    open.is_running = true;
+    ++running_;
+    ++executions_;
+    if (const std::string* key = find_header(open.request.head.headers, "X-Count-As")) {
+      ++counts_[*key];
+    }
+    const std::int64_t time =
+      query_number(open.request.head.target, "ms", options_.service_ms) * slow_factor_;
+    if (time == 0) {
+      answer(id, open.id);
+      return;
+    }
+    QTimer::singleShot(static_cast<int>(time), &announce_timer_, [this, id, number = open.id] {
+      answer(id, number);
+    });
+  }
+
+  void answer(connection_id id, std::uint64_t number)
+  {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !found->second.open || found->second.open->id != number) {
+      return;
+    }
+    job& open = *found->second.open;
+    const auto& headers = open.request.head.headers;
+    const std::string* token = find_header(headers, "X-Token");
+    const std::string body = json{
+      { "service", options_.service },
+      { "target", open.request.head.target },
+      { "token", token != nullptr ? *token : "" },
+      { "body", open.request.body }
+    }.dump();
+    const std::int64_t bytes = query_number(open.request.head.target, "bytes", 0);
+    response_head head{ 200, { { "X-Token", token != nullptr ? *token : "" } } };
+    const auto total = std::max<std::int64_t>(bytes, static_cast<std::int64_t>(body.size()));
+    head.headers.push_back({ "Content-Length", std::to_string(total) });
+    http_session& session = *found->second.session;
+    session.start_answer(head);
+    session.send_body(body);
+    open.left = total - static_cast<std::int64_t>(body.size());
+    if (query_number(open.request.head.target, "cut", 0) > 0) {
+      session.abort();
+      return;
+    }
+    write_more(id);
+  }
+
+  void write_more(connection_id id)
+  {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !found->second.open || !found->second.open->is_running) {
+      return;
+    }
+    job& open = *found->second.open;
+    http_session& session = *found->second.session;
+    while (open.left > 0 && session.unsent_bytes() < PIECE_BYTES) {
+      const std::int64_t piece = std::min(open.left, PIECE_BYTES);
+      open.left -= piece;
+      session.send_body(std::string(static_cast<std::size_t>(piece), 'x'));
+    }
+    if (open.left == 0) {
+      found->second.open.reset();
+      --running_;
+      session.finish_answer();
+      run_next();
+    }
+  }
+
+  void control(connection_id id, const std::string& path)
+  {
+    http_session& session = *connections_.at(id).session;
+    const auto slash = path.find('/');
+    const std::string name = path.substr(0, slash);
+    const std::string value = slash == std::string::npos ? "" : path.substr(slash + 1);
+    if (name == "counts") {
+      const json counts = { { "executions", executions_ },
+                            { "running", running_ },
+                            { "cancelled", cancelled_ },
+                            { "by_key", counts_ } };
+      session.answer(200, {}, counts.dump() + "\n");
+      return;
+    }
+    if (name == "state") {
+      state_ = parse_enum<server_state>(value).value_or(state_);
+      announce();
+    } else if (name == "slow") {
+      slow_factor_ = std::stoll(value);
+    } else if (name == "shed") {
+      sheds_ = value == "on";
+    } else if (name == "full") {
+      refuses_when_full_ = value == "refuse";
+    }
+    session.answer(200, {}, "");
+  }
+
+  void announce()
+  {
+    if (options_.node.empty()) {
+      return;
+    }
+    QNetworkRequest request(QUrl("http://" + QString::fromStdString(options_.node) + "/v1/server"));
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    request.setRawHeader("Authorization", QByteArray::fromStdString("Bearer " + options_.token));
+    const json body = { { "service", options_.service },
+                        { "host", "127.0.0.1" },
+                        { "port", port_.serverPort() },
+                        { "slots", options_.slots },
+                        { "state", enum_name(state_) } };
+    QNetworkReply* reply = manager_.post(request, QByteArray::fromStdString(body.dump()));
+    QObject::connect(reply, &QNetworkReply::finished, reply, &QNetworkReply::deleteLater);
+  }
+
+  server_options options_;
+  port port_;
+  QTimer announce_timer_;
+  QNetworkAccessManager manager_;
+  std::map<connection_id, connection> connections_;
+  std::deque<connection_id> waiting_;
+  std::uint64_t next_ = 1;
+  std::uint64_t running_ = 0;
+  std::uint64_t executions_ = 0;
+  std::uint64_t cancelled_ = 0;
+  std::int64_t slow_factor_ = 1;
+  bool sheds_ = false;
+  bool refuses_when_full_ = false;
+  server_state state_ = server_state::ready;
+  std::map<std::string, std::uint64_t> counts_;
+};
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  const QCoreApplication application(argc, argv);
+  cxxopts::Options options("backend_server", "Stand-in for a backend server");
+  // clang-format off
+  options.add_options()
+    ("service", "Service", cxxopts::value<std::string>())
+    ("slots", "Requests at once", cxxopts::value<std::uint32_t>()->default_value("20"))
+    ("ms", "Service time", cxxopts::value<std::int64_t>()->default_value("5"))
+    ("node", "Operators' port of the node beside it", cxxopts::value<std::string>()->default_value(""))
+    ("token", "Operators' token", cxxopts::value<std::string>()->default_value(""))
+    ("port", "Port", cxxopts::value<std::uint16_t>()->default_value("0"));
+  // clang-format on
+  const cxxopts::ParseResult line = options.parse(argc, argv);
+  backend_server server({ line["service"].as<std::string>(),
+                          line["slots"].as<std::uint32_t>(),
+                          line["ms"].as<std::int64_t>(),
+                          line["node"].as<std::string>(),
+                          line["token"].as<std::string>() });
+  const std::uint16_t port = server.listen(line["port"].as<std::uint16_t>());
+  std::cout << "event=listening edge=server port=" << port << std::endl;
+  return port == 0 ? 1 : QCoreApplication::exec();
+}
