Hold a server's announcement until no earlier process of its node can be asked for

Cause: a node refuses keys made within the clock skew of its own start (an earlier process may have run them) and before it holds a lease, but announced its server at once, so it was the home of keys that it had to refuse. Ruled out: the lease itself, which was renewed at each heartbeat. Change: the announcement waits for the skew and one heartbeat. The scripts wait for log lines by looking at the file, since a broken pipe counted as a failure.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,7 +55,13 @@
 check "a route to a missing service is refused" grep -q 'fault=unknown_service' "$mesh_dir/check.out"
 
 echo "== requests across the regions"
-check "servers are known" await_line west-a-1 'event=member_changed member=east-a-1 .*server=ready'
+for node in "${nodes[@]}"; do
+  check "the server beside $node takes work" await_line "$node" 'event=server_announced .*state=ready'
+done
+check "west-a-1 knows the server in the east" \
+  await_line west-a-1 'event=member_changed member=east-a-1 .*server=ready'
+check "west-b-1 knows the server in the east" \
+  await_line west-b-1 'event=member_changed member=east-a-1 .*server=ready'
 curl -si "http://$(address west-a-1 callers)/catalogue/puzzles" | tee "$mesh_dir/get.out"
 echo
 check "a lookup is answered" grep -q 'Shallotfield-Outcome: answered' "$mesh_dir/get.out"
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -17,7 +17,11 @@
 
 # Waits until a pattern stands in a log. $1: name; $2: pattern; $3: seconds, default 10.
 await_line() {
-  timeout "${3:-10}" tail -n +1 -F "$mesh_dir/$1.log" 2>/dev/null | grep -q -m1 -E "$2"
+  local until=$((SECONDS + ${3:-10}))
+  until grep -q -s -E "$2" "$mesh_dir/$1.log"; do
+    ((SECONDS < until)) || return 1
+    sleep 0.05
+  done
 }
 
 # Prints the port that a program opened. $1: name; $2: edge.
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -1,6 +1,8 @@
 // The control state of a node: ticks, publishing and leaving.
 #include "control_base.h"
 
+#include "request/request.h"
+
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
@@ -62,6 +64,7 @@
         { { "service", card.service }, { "state", "none" }, { "reason", "lease_ended" } });
     spread(members_.update_own(members_.own().state, card, now_), std::nullopt);
   }
+  show_server();
   check_silence();
   check_missing();
   std::erase_if(unreachable_, [this](const auto& item) { return item.second <= now_.mono; });
@@ -107,15 +110,27 @@
 control::on(const server_announced& event)
 {
   server_lease_until_ = now_.mono + options_.server_lease_ms;
+  announced_ = event.card;
+  show_server();
+}
+
+void
+control::show_server()
+{
+  // Until then a key that is sent here may have been with an earlier process of this node.
+  const bool may_be_home = now_.mono - started_.mono >= CLOCK_SKEW_MAX_MS + options_.heartbeat_ms;
+  if (!may_be_home || now_.mono > server_lease_until_) {
+    return;
+  }
   const server_state before = members_.own().server.state;
   const std::optional<member_record> changed =
-    members_.update_own(members_.own().state, event.card, now_);
+    members_.update_own(members_.own().state, announced_, now_);
   if (changed) {
     log(log_event::server_announced,
-        { { "service", event.card.service },
-          { "state", enum_name(event.card.state) },
+        { { "service", announced_.service },
+          { "state", enum_name(announced_.state) },
           { "before", enum_name(before) },
-          { "slots", event.card.slots } });
+          { "slots", announced_.slots } });
     spread(changed, std::nullopt);
     send_members();
   }
--- a/src/process/control_base.h
+++ b/src/process/control_base.h
@@ -123,6 +123,7 @@
   void on(const server_announced& event);
   void on(const leave_requested& event);
   void detect_pause();
+  void show_server();
   void check_publishes();
   void finish_publish(publish_ticket ticket, publish_result result, const judgement* judged);
 
@@ -216,6 +217,7 @@
   version_summary fleet_;                               ///< What the fleet has in force.
   version_summary sent_fleet_;                          ///< As last sent down.
   mono_ms lease_until_ = 0;                             ///< In touch until then.
+  server_card announced_;                               ///< What the server said last.
   mono_ms server_lease_until_ = 0;      ///< The server's announcement holds until then.
   mono_ms last_tick_ = 0;               ///< Time of the latest tick.
   mono_ms next_heartbeat_ = 0;          ///< When the next heartbeats are due.
