--- a/src/connection/control_message_codec.cpp
+++ b/src/connection/control_message_codec.cpp
@@ -129,10 +129,9 @@
   }
   json operator()(const heartbeat_message& message)
   {
-    return { { "offset", message.offset },
-             { "members", message.members_digest },
-             { "lease", message.lease_ms },
-             { "below", summary_to_json(message.below) } };
+    return { { "offset", message.offset },  { "members", message.members_digest },
+             { "stamp", message.stamp },    { "echo", message.echo },
+             { "lease", message.lease_ms }, { "below", summary_to_json(message.below) } };
   }
   json operator()(const fleet_message& message)
   {
@@ -219,6 +218,8 @@
   heartbeat_message result;
   BOOST_LEAF_ASSIGN(result.offset, read_member<std::uint64_t>(head, "offset"));
   BOOST_LEAF_ASSIGN(result.members_digest, read_member<std::uint64_t>(head, "members"));
+  BOOST_LEAF_ASSIGN(result.stamp, read_member<std::int64_t>(head, "stamp"));
+  BOOST_LEAF_ASSIGN(result.echo, read_member<std::int64_t>(head, "echo"));
   BOOST_LEAF_ASSIGN(result.lease_ms, read_member<std::int64_t>(head, "lease"));
   BOOST_LEAF_ASSIGN(result.below, parse_summary(head, "below"));
   return control_message(std::move(result));
--- a/src/connection/control_message_type.h
+++ b/src/connection/control_message_type.h
@@ -109,13 +109,16 @@
   bool operator==(const members_message&) const = default;
 };
 
-/** Sent at a fixed interval. */
+/** Sent at a fixed interval to the parent and between hubs; a parent sends its own in answer. */
 struct heartbeat_message
 {
   std::uint64_t offset = 0;         ///< Last record that the sender folded in.
   std::uint64_t members_digest = 0; ///< Digest of the records that the sender holds.
-  std::int64_t lease_ms = 0;        ///< How long the receiver may count itself in touch; 0: not.
-  version_summary below;            ///< The sender and the nodes that report to it.
+  std::int64_t stamp = 0;           ///< The sender's own clock, for the receiver to give back.
+  std::int64_t echo = 0;            ///< In an answer: the stamp that it answers.
+  std::int64_t lease_ms = 0; ///< In an answer: how long after that stamp its sender may count
+                             ///< itself in touch with the fleet; 0: not.
+  version_summary below;     ///< The sender and the nodes that report to it.
   bool operator==(const heartbeat_message&) const = default;
 };
 
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -16,7 +16,7 @@
 /** Pause between two appends of one proposal. */
 static constexpr mono_ms PUBLISH_RETRY_MS = 300;
 
-control::control(settings options, member_record own, instant now)
+control::control(settings options, const member_record& own, instant now)
   : options_(std::move(options))
   , self_(own.id)
   , now_(now)
@@ -31,6 +31,7 @@
 control::handle(const control_event& event, instant now)
 {
   now_ = now;
+  detect_pause();
   std::visit([this](const auto& item) { on(item); }, event);
   note_new_config();
   send_config();
@@ -55,7 +56,6 @@
 void
 control::on(const control_tick& /*event*/)
 {
-  detect_pause();
   wholes_left_ = TRANSFERS_PER_TICK;
   if (members_.own().server.state != server_state::none && now_.mono > server_lease_until_) {
     server_card card = members_.own().server;
@@ -70,10 +70,10 @@
   std::erase_if(unreachable_, [this](const auto& item) { return item.second <= now_.mono; });
   replan();
   check_duties();
+  update_lease();
   if (now_.mono >= next_heartbeat_) {
     next_heartbeat_ = now_.mono + options_.heartbeat_ms;
     members_.drop_old_tombstones(now_);
-    update_lease();
     update_fleet();
     send_heartbeats();
   }
@@ -87,8 +87,8 @@
 control::detect_pause()
 {
   const mono_ms limit = std::max<mono_ms>(PAUSE_MIN_MS, options_.heartbeat_ms);
-  if (last_tick_ != 0 && now_.mono - last_tick_ > limit) {
-    log(log_event::pause_detected, { { "ms", now_.mono - last_tick_ } });
+  if (last_event_ != 0 && now_.mono - last_event_ > limit) {
+    log(log_event::pause_detected, { { "ms", now_.mono - last_event_ } });
     count(counter_id::pauses);
     lease_until_ = 0;
     add(apply_lease{ lease_until_ });
@@ -103,7 +103,7 @@
       subscribe_to(*parent_link_, true, false);
     }
   }
-  last_tick_ = now_.mono;
+  last_event_ = now_.mono;
 }
 
 void
--- a/src/process/control_base.h
+++ b/src/process/control_base.h
@@ -77,7 +77,7 @@
    * @param own This node's record, with its addresses.
    * @param now Start of the process.
    */
-  control(settings options, member_record own, instant now);
+  control(settings options, const member_record& own, instant now);
 
   /**
    * Takes an event.
@@ -163,6 +163,7 @@
   void replan();
   void join();
   void watch_seeds();
+  std::set<node_id> unreachable_nodes() const;
   void open_to(const endpoint& to, const node_id& target, bool is_seed);
   void drop_link(link_id id, bool says_goodbye);
   void lose_link(link_id id, link_end why);
@@ -171,6 +172,9 @@
   void check_duties();
   void expect_link(const node_id& id);
   void send_heartbeats();
+  void answer_heartbeat(link_id id, const heartbeat_message& message);
+  heartbeat_message make_heartbeat() const;
+  bool is_child(link_id id, const peer_link& link) const;
   void send_members();
   void spread(const std::optional<member_record>& record, std::optional<link_id> source);
   void send_all_members(link_id id, peer_link& link);
@@ -219,7 +223,7 @@
   mono_ms lease_until_ = 0;                             ///< In touch until then.
   server_card announced_;                               ///< What the server said last.
   mono_ms server_lease_until_ = 0;      ///< The server's announcement holds until then.
-  mono_ms last_tick_ = 0;               ///< Time of the latest tick.
+  mono_ms last_event_ = 0;              ///< Time of the latest event.
   mono_ms next_heartbeat_ = 0;          ///< When the next heartbeats are due.
   bool view_changed_ = true;            ///< The traffic threads have an older view.
   std::vector<control_effect> effects_; ///< Gathered by handle().
--- a/src/process/control_links.cpp
+++ b/src/process/control_links.cpp
@@ -18,9 +18,12 @@
 /** Heartbeats in a row that show a difference before it is repaired. */
 static constexpr std::uint64_t DIFFERING_HEARTBEATS = 3;
 
-/** Share of gone_after_ms for which a lease holds, in eighths. Together with the delays of three
- * levels of heartbeats this stays under gone_after_ms. */
-static constexpr mono_ms LEASE_EIGHTHS = 3;
+/** Nodes of a zone that can't be reached before the whole zone counts as such. */
+static constexpr std::size_t ZONE_LOST_AFTER_NODES = 2;
+
+/** Share of gone_after_ms for which a lease holds. With the heartbeats that a relay still counts
+ * and the age of what the hub heard, a lease ends before anybody calls its holder gone. */
+static constexpr mono_ms LEASE_SHARE = 2;
 
 void
 merge_summary(version_summary& into, const version_summary& from)
@@ -309,8 +312,8 @@
   const std::uint64_t own_version = ledger_.current()->number;
   version_summary total{ { { own_version, 1 } }, {} };
   for (const auto& [id, link] : links_) {
-    const bool is_below = is_in_touch_link(link) && link.is_subscribed && !is_parent(id) &&
-                          link.peer->region == members_.own().region;
+    const bool is_below =
+      is_in_touch_link(link) && is_child(id, link) && link.peer->region == members_.own().region;
     if (!is_below) {
       continue;
     }
@@ -324,38 +327,55 @@
   return total;
 }
 
+bool
+control::is_child(link_id id, const peer_link& link) const
+{
+  return link.peer && link.is_open && link.is_subscribed && !is_parent(id);
+}
+
+heartbeat_message
+control::make_heartbeat() const
+{
+  heartbeat_message message;
+  message.offset = ledger_.offset();
+  message.members_digest = members_.digest();
+  return message;
+}
+
 void
 control::send_heartbeats()
 {
-  const version_summary below = summarise_below();
+  heartbeat_message message = make_heartbeat();
+  message.stamp = now_.mono;
+  message.below = summarise_below();
   for (const auto& [id, link] : links_) {
-    if (!link.peer || !link.is_open) {
-      continue;
+    if (link.peer && link.is_open && !is_child(id, link)) {
+      send(id, message);
     }
-    heartbeat_message message;
-    message.offset = ledger_.offset();
-    message.members_digest = members_.digest();
-    const bool goes_down = link.is_subscribed && !is_parent(id);
-    if (goes_down) {
-      message.lease_ms = std::max<mono_ms>(0, lease_until_ - now_.mono);
-    } else {
-      message.below = below;
-    }
-    send(id, std::move(message));
   }
 }
 
+void
+control::answer_heartbeat(link_id id, const heartbeat_message& message)
+{
+  heartbeat_message answer = make_heartbeat();
+  answer.echo = message.stamp;
+  answer.lease_ms = std::max<mono_ms>(0, lease_until_ - now_.mono);
+  send(id, std::move(answer));
+}
+
 void
 control::on_message(link_id id, const heartbeat_message& message)
 {
   peer_link& link = links_.at(id);
+  if (is_child(id, link)) {
+    answer_heartbeat(id, message);
+  }
   link.below = message.below;
-  if (is_parent(id) && message.lease_ms > 0) {
-    const mono_ms until = now_.mono + message.lease_ms;
-    if (until > lease_until_) {
-      lease_until_ = until;
-      add(apply_lease{ lease_until_ });
-    }
+  const mono_ms lease = message.echo + message.lease_ms;
+  if (is_parent(id) && message.lease_ms > 0 && lease > lease_until_) {
+    lease_until_ = lease;
+    add(apply_lease{ lease_until_ });
   }
   const bool is_ahead = message.offset > ledger_.offset() && !is_halted_;
   link.ahead_heartbeats = is_ahead ? link.ahead_heartbeats + 1 : 0;
@@ -398,7 +418,7 @@
   }
   sent_fleet_ = fleet_;
   for (const auto& [id, link] : links_) {
-    if (link.is_subscribed && !is_parent(id)) {
+    if (is_child(id, link)) {
       send(id, fleet_message{ fleet_ });
     }
   }
@@ -440,7 +460,7 @@
     since = at;
   }
   if (2 * in_touch > known) {
-    const mono_ms until = since + options_.gone_after_ms * LEASE_EIGHTHS / 8;
+    const mono_ms until = since + options_.gone_after_ms / LEASE_SHARE;
     if (until > lease_until_) {
       lease_until_ = until;
       add(apply_lease{ lease_until_ });
@@ -481,7 +501,9 @@
   }
   for (const node_id& id : gone) {
     missing_since_.erase(id);
-    if (!find_link(id)) {
+    const std::optional<link_id> link = find_link(id);
+    const bool is_back = link && links_.at(*link).peer;
+    if (!is_back) {
       spread(members_.mark_gone(id, now_), std::nullopt);
     }
   }
@@ -503,10 +525,6 @@
   if (plan_.role == node_role::member || !has_settled) {
     return;
   }
-  std::set<node_id> unreachable;
-  for (const auto& [id, until] : unreachable_) {
-    unreachable.insert(id);
-  }
   const member_record& own = members_.own();
   std::set<std::string> linked_zones;
   for (const auto& [id, link] : links_) {
@@ -571,6 +589,39 @@
   }
 }
 
+std::set<node_id>
+control::unreachable_nodes() const
+{
+  std::set<node_id> nodes;
+  for (const auto& [id, until] : unreachable_) {
+    nodes.insert(id);
+  }
+  for (const auto& [id, since] : missing_since_) {
+    nodes.insert(id);
+  }
+  // Where several nodes of a zone can't be reached and none can, the others aren't tried in turn.
+  std::map<std::string, std::size_t> failures;
+  for (const node_id& id : nodes) {
+    const auto record = members_.records().find(id);
+    if (record != members_.records().end() && !is_tombstone(record->second)) {
+      ++failures[record->second.zone];
+    }
+  }
+  for (const auto& [id, link] : links_) {
+    if (link.peer) {
+      failures.erase(link.peer->zone);
+    }
+  }
+  failures.erase(members_.own().zone);
+  for (const auto& [id, record] : members_.records()) {
+    const auto found = failures.find(record.zone);
+    if (found != failures.end() && found->second >= ZONE_LOST_AFTER_NODES) {
+      nodes.insert(id);
+    }
+  }
+  return nodes;
+}
+
 void
 control::replan()
 {
@@ -580,11 +631,7 @@
       return;
     }
   }
-  std::set<node_id> unreachable;
-  for (const auto& [id, until] : unreachable_) {
-    unreachable.insert(id);
-  }
-  role_plan plan = plan_role(members_.records(), self_, unreachable);
+  role_plan plan = plan_role(members_.records(), self_, unreachable_nodes());
   if (plan.role != plan_.role || plan.parent != plan_.parent) {
     log(log_event::role_changed,
         { { "role", enum_name(plan.role) }, { "parent", plan.parent.value_or("-") } });
--- a/src/process/log_client.cpp
+++ b/src/process/log_client.cpp
@@ -129,7 +129,7 @@
                  std::uint64_t from,
                  std::uint64_t limit,
                  std::int64_t wait_ms,
-                 handler done)
+                 const handler& done)
 {
   const std::string url = base_url_ + "/streams/" + std::string(enum_name(stream)) +
                           "/records?from=" + std::to_string(from) +
@@ -140,7 +140,7 @@
 }
 
 void
-log_client::append(log_stream stream, const std::string& bytes, handler done)
+log_client::append(log_stream stream, const std::string& bytes, const handler& done)
 {
   const std::string url = base_url_ + "/streams/" + std::string(enum_name(stream)) + "/records";
   QNetworkRequest request(QUrl(QString::fromStdString(url)));
--- a/src/process/log_client_base.h
+++ b/src/process/log_client_base.h
@@ -45,7 +45,7 @@
             std::uint64_t from,
             std::uint64_t limit,
             std::int64_t wait_ms,
-            handler done);
+            const handler& done);
 
   /**
    * Appends a record.
@@ -53,7 +53,7 @@
    * @param bytes The record.
    * @param done Gets a log_appended or a log_fault.
    */
-  void append(log_stream stream, const std::string& bytes, handler done);
+  void append(log_stream stream, const std::string& bytes, const handler& done);
 
 private:
   /** Hands the outcome of a reply to its handler. */
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -32,7 +32,7 @@
          (record.server.state == server_state::ready || record.server.state == server_state::cold);
 }
 
-membership::membership(member_record own, instant now)
+membership::membership(const member_record& own, instant now)
   : own_id_(own.id)
 {
   store(own, now);
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -28,7 +28,7 @@
    * @param own The record of this node.
    * @param now When; the node knows nothing of the time before.
    */
-  membership(member_record own, instant now);
+  membership(const member_record& own, instant now);
 
   /**
    * Takes in a record from a peer. A record of this node itself is never taken: a newer one, or
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -25,7 +25,7 @@
                      .Name("shallotfield_request_seconds")
                      .Help("Time of a request at the callers' edge")
                      .Register(registry_);
-    requests_ = &family.Add({}, REQUEST_BUCKETS_S);
+    requests_ = &family.Add({}, request_buckets_s_);
   }
 
   /** @return The counter with an id. */
@@ -38,8 +38,9 @@
   std::string text() const { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
 
 private:
-  const std::vector<double> REQUEST_BUCKETS_S{ 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-                                               0.1,    0.2,   0.5,   1,     2,    5,    10 };
+  /** Upper bounds of the histogram's buckets, in seconds. */
+  const std::vector<double> request_buckets_s_{ 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+                                                0.1,    0.2,   0.5,   1,     2,    5,    10 };
   prometheus::Registry registry_;                                    ///< Owns the metrics.
   std::array<prometheus::Counter*, COUNTER_ROWS.size()> counters_{}; ///< By counter_id.
   prometheus::Histogram* requests_ = nullptr;                        ///< Request times.
--- a/src/process/server_thread.cpp
+++ b/src/process/server_thread.cpp
@@ -114,7 +114,7 @@
 server_thread::defer_delete(std::shared_ptr<void> object)
 {
   QMetaObject::invokeMethod(
-    timer_.get(), [object] {}, Qt::QueuedConnection);
+    timer_.get(), [object = std::move(object)] {}, Qt::QueuedConnection);
 }
 
 void
--- a/src/request/pick_policy.cpp
+++ b/src/request/pick_policy.cpp
@@ -80,9 +80,9 @@
 const server_stats&
 balancer::stats(const node_id& node) const
 {
-  static const server_stats UNSEEN;
+  static const server_stats unseen;
   const auto found = servers_.find(node);
-  return found == servers_.end() ? UNSEEN : found->second;
+  return found == servers_.end() ? unseen : found->second;
 }
 
 /** Requests that a server has, as far as this thread can tell. */
--- a/src/version/document.cpp
+++ b/src/version/document.cpp
@@ -264,10 +264,10 @@
 static leaf::result<const json*>
 find_section(const json& value, const std::string& key)
 {
-  static const json EMPTY = json::object();
+  static const json empty = json::object();
   const auto section = value.find(key);
   if (section == value.end()) {
-    return &EMPTY;
+    return &empty;
   }
   if (!section->is_object()) {
     return refuse("/" + key, document_fault::wrong_type);
--- a/standins/log_service.cpp
+++ b/standins/log_service.cpp
@@ -73,19 +73,20 @@
                   [this](const QString& name,
                          const QHttpServerRequest& request,
                          QHttpServerResponder&& responder) {
-                    later(std::move(responder), [this, name, query = request.query()](auto&& to) {
-                      read(name, query, std::move(to));
-                    });
-                  });
-    server_.route("/streams/<arg>/records",
-                  method::Post,
-                  [this](const QString& name,
-                         const QHttpServerRequest& request,
-                         QHttpServerResponder&& responder) {
-                    later(std::move(responder), [this, name, body = request.body()](auto&& to) {
-                      append(name, body, std::move(to));
-                    });
+                    later(std::move(responder),
+                          [this, name, query = request.query()](QHttpServerResponder&& to) {
+                            read(name, query, std::move(to));
+                          });
                   });
+    server_.route(
+      "/streams/<arg>/records",
+      method::Post,
+      [this](
+        const QString& name, const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+        later(std::move(responder), [this, name, body = request.body()](QHttpServerResponder&& to) {
+          append(name, body, std::move(to));
+        });
+      });
     server_.route(
       "/mode/<arg>", method::Post, [this](const QString& name, QHttpServerResponder&& responder) {
         const auto mode = parse_enum<log_mode>(name.toStdString());
--- /dev/null
+++ b/tests/connection/http_test.cpp
@@ -0,0 +1,162 @@
+// Contract tests of the HTTP edges against a server and a caller written by hand.
+#include "connection/connection.h"
+#include "fakes/fake_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+BOOST_AUTO_TEST_SUITE(http_client_contract)
+
+BOOST_AUTO_TEST_CASE(a_request_arrives_once_whatever_the_server_does)
+{
+  struct row
+  {
+    std::string method;
+    std::string body;
+    fake_answer behaviour;
+    std::string expected;
+  };
+  const std::vector<row> rows = {
+    { "POST", "x", fake_answer::silent_end, "no_answer" },
+    { "POST", "", fake_answer::silent_end, "no_answer" },
+    { "GET", "", fake_answer::silent_end, "no_answer" },
+    { "POST", "x", fake_answer::cut_head, "no_answer" },
+    { "POST", "x", fake_answer::cut_body, "cut" },
+    { "GET", "", fake_answer::cut_body, "cut" },
+    { "POST", "x", fake_answer::whole, "" },
+    { "GET", "", fake_answer::whole, "" },
+  };
+  for (const bool reuses : { false, true }) {
+    for (const row& item : rows) {
+      BOOST_TEST_CONTEXT(item.method << " reuses=" << reuses << " expected=" << item.expected)
+      {
+        fake_server server;
+        http_client client({ "127.0.0.1", server.port() }, 1000);
+        std::string failure;
+        bool is_done = false;
+        client.on_piece = [&](response_piece&& piece) { is_done = is_done || piece.is_done; };
+        client.on_failed = [&](client_failure why) { failure = enum_name(why); };
+        int expected_requests = 1;
+        if (reuses) {
+          client.send({ "GET", "/", {} }, "");
+          BOOST_REQUIRE(run_until([&] { return is_done; }));
+          is_done = false;
+          expected_requests = 2;
+        }
+        server.behaviour = item.behaviour;
+        client.send({ item.method, "/", {} }, item.body);
+        BOOST_REQUIRE(run_until([&] { return is_done || !failure.empty(); }));
+        BOOST_TEST(failure == item.expected);
+        BOOST_TEST(server.requests == expected_requests);
+        BOOST_TEST(server.connections == 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(without_a_connection_nothing_was_sent)
+{
+  std::uint16_t port = 0;
+  {
+    const fake_server gone;
+    port = gone.port();
+  }
+  http_client client({ "127.0.0.1", port }, 1000);
+  std::string failure;
+  client.on_failed = [&](client_failure why) { failure = enum_name(why); };
+  client.send({ "POST", "/", {} }, "x");
+  BOOST_REQUIRE(run_until([&] { return !failure.empty(); }));
+  BOOST_TEST(failure == "never_sent");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(http_messages)
+
+BOOST_AUTO_TEST_CASE(requests_are_read_in_pieces_one_after_the_other)
+{
+  const std::string bytes = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+                            "GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  for (const std::size_t piece : { std::size_t{ 1 }, std::size_t{ 5 }, bytes.size() }) {
+    request_reader reader(100);
+    std::vector<whole_request> requests;
+    std::optional<http_fault> error;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+      auto request = reader.feed(bytes.substr(at, piece), error);
+      while (request) {
+        requests.push_back(std::move(*request));
+        request = reader.feed("", error);
+      }
+    }
+    BOOST_TEST(!error.has_value());
+    BOOST_REQUIRE(requests.size() == 2U);
+    BOOST_TEST(requests[0].body == "abc");
+    BOOST_TEST(requests[0].keep_alive);
+    BOOST_TEST(requests[1].head.target == "/b");
+    BOOST_TEST(!requests[1].keep_alive);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(limits_and_malformed_requests)
+{
+  struct row
+  {
+    std::string bytes;
+    http_fault fault;
+  };
+  const std::vector<row> rows = {
+    { "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", http_fault::body_too_large },
+    { "POST / HTTP/1.1\r\nContent-Length: 99999999999999\r\n\r\n", http_fault::body_too_large },
+    { "GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x'), http_fault::head_too_large },
+    { "nonsense\r\n\r\n", http_fault::malformed },
+    { "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", http_fault::malformed },
+    { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http_fault::malformed },
+  };
+  for (const row& item : rows) {
+    request_reader reader(100);
+    std::optional<http_fault> error;
+    reader.feed(item.bytes, error);
+    BOOST_REQUIRE_MESSAGE(error.has_value(), item.bytes.substr(0, 60));
+    BOOST_TEST(enum_name(*error) == enum_name(item.fault));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(answers_end_as_their_length_says)
+{
+  struct row
+  {
+    std::string bytes;
+    bool ends_by_close;
+    std::string body;
+    bool is_done;
+  };
+  const std::vector<row> rows = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, "abc", true },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", true, "ab", false },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      false,
+      "abc",
+      true },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true, "abc", false },
+    { "HTTP/1.1 200 OK\r\n\r\nabc", true, "abc", true },
+    { "HTTP/1.1 204 No Content\r\n\r\n", false, "", true },
+  };
+  for (const row& item : rows) {
+    response_reader reader(false);
+    std::optional<http_fault> error;
+    response_piece piece = reader.feed(item.bytes, error);
+    std::string body = piece.body;
+    bool is_done = piece.is_done;
+    if (item.ends_by_close && !is_done) {
+      const response_piece last = reader.feed_end(error);
+      body += last.body;
+      is_done = last.is_done;
+    }
+    BOOST_TEST(body == item.body);
+    BOOST_TEST(is_done == item.is_done);
+    BOOST_TEST(error.has_value() == !item.is_done);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fakes/fake_fleet.h
@@ -0,0 +1,379 @@
+// Control states of several nodes with an in-memory network and log between them, on a clock of
+// their own. Small on purpose: links keep their order, like TCP; faults are switched by tests.
+#pragma once
+#include "process/node.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace shallotfield {
+
+/** The log service, in memory. */
+struct fake_log
+{
+  /** One stream. */
+  struct stream
+  {
+    std::uint64_t first = 1;         ///< Oldest offset held.
+    std::deque<std::string> records; ///< From there on.
+  };
+
+  std::map<log_stream, stream> streams; ///< By name.
+  bool is_down = false;                 ///< Calls are refused.
+  bool loses_answers = false;           ///< Appends take effect, their answers are lost.
+
+  /** Drops the oldest records. @param name The stream. @param kept How many stay. */
+  void keep(log_stream name, std::size_t kept)
+  {
+    stream& target = streams[name];
+    while (target.records.size() > kept) {
+      target.records.pop_front();
+      ++target.first;
+    }
+  }
+
+  /** Reads. @param call What is asked for. @return The page. */
+  log_page read(const read_log& call)
+  {
+    const stream& from = streams[call.stream];
+    log_page page{ from.first, from.first + from.records.size(), {} };
+    for (std::uint64_t at = std::max(call.from, from.first);
+         at < page.next && page.records.size() < call.limit;
+         ++at) {
+      page.records.push_back({ at, from.records[at - from.first] });
+    }
+    return page;
+  }
+
+  /** Appends. @param name The stream. @param bytes The record. @return Its offset. */
+  std::uint64_t append(log_stream name, const std::string& bytes)
+  {
+    stream& to = streams[name];
+    to.records.push_back(bytes);
+    return to.first + to.records.size() - 1;
+  }
+};
+
+/** One node of the fleet. */
+struct fake_node
+{
+  settings options;                                     ///< Its settings.
+  member_record record;                                 ///< Its record at the start.
+  std::unique_ptr<control> state;                       ///< Its control state; none: it is dead.
+  bool is_frozen = false;                               ///< It gets no events.
+  std::multimap<mono_ms, control_event> inbox;          ///< Events on their way to it.
+  mono_ms next_tick = 0;                                ///< When it ticks next.
+  server_card card;                                     ///< Its server; announced with each tick.
+  compiled_version_ptr version;                         ///< What its traffic threads have.
+  member_view_ptr view;                                 ///< The same.
+  mono_ms lease_until = 0;                              ///< The same.
+  std::vector<answer_publish> answers;                  ///< Answers to its operators.
+  std::vector<std::string> lines;                       ///< Its log lines.
+  std::uint64_t floor = 0;                              ///< Highest version that it ever had.
+  std::map<link_id, std::pair<node_id, link_id>> peers; ///< Other end of each link.
+};
+
+/** The fleet. */
+class fake_fleet
+{
+public:
+  fake_log log;                                       ///< The log service.
+  instant now{ 1'000'000, 1'700'000'000'000 };        ///< The clock.
+  std::map<node_id, fake_node> nodes;                 ///< By name.
+  std::set<std::pair<std::string, std::string>> cuts; ///< Zones that can't reach each other.
+  std::uint64_t messages = 0;                         ///< Messages that were sent.
+  std::uint64_t reads = 0;                            ///< Reads of the log.
+  std::uint64_t whole_documents = 0;                  ///< Snapshots that were sent between nodes.
+  std::map<std::string, std::uint64_t> copies;        ///< Records sent to each region by another.
+
+  /** Adds a node. @param id Name. @param region Region. @param zone Zone. */
+  void add(const node_id& id, const std::string& region, const std::string& zone)
+  {
+    fake_node& node = nodes[id];
+    node.options = *parse_settings(nlohmann::json{
+      { "node_id", id },
+      { "region", region },
+      { "zone", zone },
+      { "host", "127.0.0.1" },
+      { "log_url", "http://127.0.0.1:1" },
+      { "operators_token", "t" } }.dump());
+    node.record.id = id;
+    node.record.state = member_state::alive;
+    node.record.region = region;
+    node.record.zone = zone;
+    node.record.control = { "127.0.0.1", static_cast<std::uint16_t>(1000 + nodes.size()) };
+    for (const auto& [other, item] : nodes) {
+      if (seeds_.size() < 3) {
+        seeds_.push_back(item.record.control);
+        break;
+      }
+    }
+    node.options.seeds = seeds_;
+    start(id);
+  }
+
+  /** Starts a node, new or again. @param id The node. */
+  void start(const node_id& id)
+  {
+    fake_node& node = nodes.at(id);
+    node.record.incarnation = static_cast<std::uint64_t>(now.unix);
+    node.state = std::make_unique<control>(node.options, node.record, now);
+    node.version = node.state->config().current();
+    node.view = node.state->members().build_view();
+    node.lease_until = 0;
+    node.is_frozen = false;
+    node.inbox.clear();
+    node.next_tick = now.mono;
+    node.floor = 0;
+  }
+
+  /** Ends a node at once. @param id The node. */
+  void kill(const node_id& id)
+  {
+    fake_node& node = nodes.at(id);
+    node.state.reset();
+    for (const auto& [link, peer] : node.peers) {
+      if (!is_cut(id, peer.first)) {
+        post(peer.first, 1, link_ended{ peer.second, link_end::closed });
+      }
+      nodes.at(peer.first).peers.erase(peer.second);
+    }
+    node.peers.clear();
+  }
+
+  /** Publishes at a node. @return The ticket. */
+  publish_ticket publish(const node_id& id,
+                         const std::string& publish_id,
+                         const nlohmann::json& target,
+                         std::optional<std::uint64_t> base = std::nullopt)
+  {
+    const publish_ticket ticket = next_ticket_++;
+    give(id, publish_requested{ ticket, publish_id, "test", base, target });
+    return ticket;
+  }
+
+  /** Lets time pass. @param ms How much. */
+  void run(mono_ms ms)
+  {
+    static constexpr mono_ms STEP_MS = 10;
+    for (mono_ms passed = 0; passed < ms; passed += STEP_MS) {
+      now.mono += STEP_MS;
+      now.unix += STEP_MS;
+      for (auto& [id, node] : nodes) {
+        step(id, node);
+      }
+    }
+  }
+
+  /** Lets time pass until a condition holds. @return Whether it held within the bound. */
+  bool run_until(mono_ms bound, const std::function<bool()>& is_met)
+  {
+    for (mono_ms passed = 0; passed < bound && !is_met(); passed += 10) {
+      run(10);
+    }
+    return is_met();
+  }
+
+  /** @return Whether all nodes that live have a version in force. */
+  bool all_have(std::uint64_t version) const
+  {
+    return std::all_of(nodes.begin(), nodes.end(), [version](const auto& item) {
+      return !item.second.state || item.second.version->number == version;
+    });
+  }
+
+  /** Hands an event to a node now. */
+  void give(const node_id& id, const control_event& event)
+  {
+    fake_node& node = nodes.at(id);
+    for (const control_effect& effect : node.state->handle(event, now)) {
+      perform(id, effect);
+    }
+  }
+
+  /** Whether two nodes can't reach each other. */
+  bool is_cut(const node_id& a, const node_id& b) const
+  {
+    const std::string& zone_a = nodes.at(a).record.zone;
+    const std::string& zone_b = nodes.at(b).record.zone;
+    return cuts.contains({ zone_a, zone_b }) || cuts.contains({ zone_b, zone_a });
+  }
+
+private:
+  static constexpr mono_ms DELAY_MS = 5;
+  static constexpr mono_ms TICK_MS = 100;
+  static constexpr mono_ms CONNECT_TIMEOUT_MS = 2000;
+
+  void post(const node_id& id, mono_ms delay, control_event event)
+  {
+    fake_node& node = nodes.at(id);
+    if (node.state) {
+      node.inbox.emplace(now.mono + delay, std::move(event));
+    }
+  }
+
+  void step(const node_id& id, fake_node& node)
+  {
+    if (!node.state || node.is_frozen) {
+      return;
+    }
+    std::vector<control_event> due;
+    for (auto it = node.inbox.begin(); it != node.inbox.end() && it->first <= now.mono;) {
+      const auto* message = std::get_if<message_arrived>(&it->second);
+      const bool is_held = message != nullptr && node.peers.contains(message->link) &&
+                           is_cut(id, node.peers.at(message->link).first);
+      if (is_held) {
+        ++it;
+      } else {
+        due.push_back(std::move(it->second));
+        it = node.inbox.erase(it);
+      }
+    }
+    for (const control_event& event : due) {
+      if (node.state) {
+        give(id, event);
+      }
+    }
+    if (node.state && now.mono >= node.next_tick) {
+      node.next_tick = now.mono + TICK_MS;
+      if (node.card.state != server_state::none) {
+        give(id, server_announced{ node.card });
+      }
+      give(id, control_tick{});
+    }
+  }
+
+  void perform(const node_id& id, const control_effect& effect)
+  {
+    fake_node& node = nodes.at(id);
+    std::visit(overloaded{
+                 [&](const open_link& item) { open(id, item); },
+                 [&](const close_link& item) { close(id, item.link); },
+                 [&](const send_control& item) { send(id, item); },
+                 [&](const read_log& item) { read(id, item); },
+                 [&](const append_log& item) { append(id, item); },
+                 [&](const answer_publish& item) { node.answers.push_back(item); },
+                 [&](const apply_version& item) {
+                   node.version = item.version;
+                   node.floor = std::max(node.floor, item.version->number);
+                 },
+                 [&](const apply_members& item) { node.view = item.view; },
+                 [&](const apply_lease& item) { node.lease_until = item.until; },
+                 [&](const log_control& item) {
+                   node.lines.push_back(format_log_line(item.event, item.fields));
+                 },
+               },
+               effect);
+  }
+
+  void open(const node_id& id, const open_link& effect)
+  {
+    for (auto& [other, peer] : nodes) {
+      if (peer.record.control == effect.to && peer.state && !is_cut(id, other)) {
+        const link_id accepted = next_accepted_;
+        next_accepted_ += 2;
+        nodes.at(id).peers[effect.link] = { other, accepted };
+        peer.peers[accepted] = { id, effect.link };
+        post(id, DELAY_MS, link_opened{ effect.link, true });
+        post(other, DELAY_MS, link_opened{ accepted, false });
+        return;
+      }
+      if (peer.record.control == effect.to && is_cut(id, other)) {
+        post(id, CONNECT_TIMEOUT_MS, link_ended{ effect.link, link_end::not_connected });
+        return;
+      }
+    }
+    post(id, DELAY_MS, link_ended{ effect.link, link_end::not_connected });
+  }
+
+  void close(const node_id& id, link_id link)
+  {
+    fake_node& node = nodes.at(id);
+    const auto peer = node.peers.find(link);
+    if (peer != node.peers.end()) {
+      const auto [other, other_link] = peer->second;
+      node.peers.erase(peer);
+      nodes.at(other).peers.erase(other_link);
+      if (!is_cut(id, other)) {
+        post(other, DELAY_MS, link_ended{ other_link, link_end::closed });
+      }
+    }
+  }
+
+  void send(const node_id& id, const send_control& effect)
+  {
+    const auto peer = nodes.at(id).peers.find(effect.link);
+    if (peer == nodes.at(id).peers.end()) {
+      return;
+    }
+    ++messages;
+    const auto [other, link] = peer->second;
+    const std::string& region = nodes.at(other).record.region;
+    if (const auto* entries = std::get_if<entries_message>(&effect.message)) {
+      copies[region] += region != nodes.at(id).record.region ? entries->entries.size() : 0;
+    }
+    whole_documents += std::holds_alternative<whole_message>(effect.message) ? 1 : 0;
+    post(other, DELAY_MS, message_arrived{ link, effect.message });
+  }
+
+  void read(const node_id& id, const read_log& effect)
+  {
+    ++reads;
+    if (log.is_down || is_log_cut(id)) {
+      post(id, DELAY_MS, log_answered{ effect.purpose, 0, log_fault::refused });
+      return;
+    }
+    log_page page = log.read(effect);
+    // A read that finds nothing comes back a little later; the log has no other clock here.
+    const mono_ms delay = page.records.empty() && effect.wait_ms > 0 ? 50 : DELAY_MS;
+    post(id, delay, log_answered{ effect.purpose, 0, std::move(page) });
+  }
+
+  void append(const node_id& id, const append_log& effect)
+  {
+    if (log.is_down || is_log_cut(id)) {
+      post(id, DELAY_MS, log_answered{ effect.purpose, effect.publish, log_fault::refused });
+      return;
+    }
+    const std::uint64_t offset = log.append(effect.stream, effect.bytes);
+    if (log.loses_answers) {
+      post(id, DELAY_MS, log_answered{ effect.purpose, effect.publish, log_fault::no_answer });
+    } else {
+      post(id, DELAY_MS, log_answered{ effect.purpose, effect.publish, log_appended{ offset } });
+    }
+  }
+
+  /** The log stands in the zone "log". */
+  bool is_log_cut(const node_id& id) const
+  {
+    return cuts.contains({ nodes.at(id).record.zone, "log" });
+  }
+
+  std::vector<endpoint> seeds_;    ///< Control ports of the first nodes.
+  publish_ticket next_ticket_ = 1; ///< Number of the next publish.
+  link_id next_accepted_ = 2;      ///< Even numbers: accepted links.
+};
+
+/** Adds nodes in two regions of two zones each. @param fleet The fleet. @param in_zone How many in
+ * each. */
+inline void
+add_two_regions(fake_fleet& fleet, int in_zone)
+{
+  for (int i = 0; i < in_zone; ++i) {
+    for (const std::string zone : { "west-a", "west-b", "east-a", "east-b" }) {
+      fleet.add(zone + "-" + std::to_string(i), zone.substr(0, 4), zone);
+    }
+  }
+}
+
+/** @param service A service. @return A document with it. */
+inline nlohmann::json
+document_with(const std::string& service)
+{
+  return { { "services", { { service, nlohmann::json::object() } } } };
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/tests/node/control_test.cpp
@@ -0,0 +1,427 @@
+// Tests of the control state on a fleet in memory: publishing, distribution, recovery, members.
+#include "fakes/expect.h"
+#include "fakes/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+/** A fleet of two regions that has met. */
+static std::unique_ptr<fake_fleet>
+make_fleet(int in_zone = 1)
+{
+  auto fleet = std::make_unique<fake_fleet>();
+  add_two_regions(*fleet, in_zone);
+  fleet->run(6000);
+  return fleet;
+}
+
+/** The latest answer to a node's operators. */
+static std::string
+last_result(const fake_fleet& fleet, const node_id& id)
+{
+  const auto& answers = fleet.nodes.at(id).answers;
+  return answers.empty() ? "none" : std::string(enum_name(answers.back().result));
+}
+
+/** Whether a node logged a line that begins with a text. */
+static bool
+has_line(const fake_node& node, const std::string& text)
+{
+  return std::any_of(node.lines.begin(), node.lines.end(), [&text](const std::string& line) {
+    return line.find(text) != std::string::npos;
+  });
+}
+
+/** Publishes and waits for the version everywhere. */
+static void
+publish_and_wait(fake_fleet& fleet, const node_id& id, std::uint64_t version)
+{
+  const std::string name = "v" + std::to_string(version);
+  fleet.publish(id, name, document_with(name));
+  BOOST_REQUIRE(fleet.run_until(5000, [&] { return fleet.all_have(version); }));
+}
+
+BOOST_AUTO_TEST_SUITE(publishing)
+
+BOOST_AUTO_TEST_CASE(an_accepted_version_is_in_force_everywhere_within_seconds)
+{
+  const auto fleet = make_fleet(4);
+  for (std::uint64_t version = 1; version <= 5; ++version) {
+    fleet->publish(
+      "east-b-3", "v" + std::to_string(version), document_with("s" + std::to_string(version)));
+    BOOST_TEST(fleet->run_until(2000, [&] { return fleet->all_have(version); }));
+    fleet->run(100);
+    BOOST_TEST(last_result(*fleet, "east-b-3") == "accepted");
+  }
+  // Each region reads the log itself: nothing of it crosses between nodes.
+  BOOST_TEST(fleet->copies["west"] + fleet->copies["east"] == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(racing_operators_get_one_winner_and_see_what_changed)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->publish("west-a-0", "one", document_with("one"), 1);
+  fleet->publish("east-a-0", "two", document_with("two"), 1);
+  fleet->run(3000);
+  const std::set<std::string> results = { last_result(*fleet, "west-a-0"),
+                                          last_result(*fleet, "east-a-0") };
+  BOOST_TEST((results == std::set<std::string>{ "accepted", "conflict" }));
+  BOOST_TEST(fleet->all_have(2));
+  const bool west_lost = last_result(*fleet, "west-a-0") == "conflict";
+  const answer_publish& lost = fleet->nodes.at(west_lost ? "west-a-0" : "east-a-0").answers.back();
+  BOOST_REQUIRE(!lost.since.empty());
+  BOOST_TEST(lost.since.back().version == 2U);
+  BOOST_TEST(!lost.since.back().changed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_or_a_repeat_makes_no_second_version)
+{
+  const auto fleet = make_fleet();
+  fleet->log.loses_answers = true;
+  fleet->publish("west-b-0", "one", document_with("one"));
+  fleet->run(4000);
+  BOOST_TEST(last_result(*fleet, "west-b-0") == "accepted");
+  fleet->log.loses_answers = false;
+  fleet->publish("east-a-0", "one", document_with("one"));
+  fleet->run(1000);
+  BOOST_TEST(last_result(*fleet, "east-a-0") == "duplicate");
+  BOOST_TEST(fleet->all_have(1));
+}
+
+BOOST_AUTO_TEST_CASE(publishing_during_an_outage_is_never_accepted)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->log.is_down = true;
+  fleet->publish("west-a-0", "two", document_with("two"));
+  fleet->run(12'000);
+  BOOST_TEST(last_result(*fleet, "west-a-0") == "unavailable");
+  BOOST_TEST(fleet->all_have(1));
+  fleet->log.is_down = false;
+  fleet->run(6000);
+  publish_and_wait(*fleet, "west-a-0", 2);
+}
+
+BOOST_AUTO_TEST_CASE(an_append_whose_fate_is_not_known_is_unknown)
+{
+  const auto fleet = make_fleet();
+  fleet->log.loses_answers = true;
+  fleet->cuts = { { "west-a", "log" }, { "east-a", "log" }, { "east-b", "log" } }; // The readers.
+  fleet->run(1000);
+  fleet->publish("west-b-0", "one", document_with("one"));
+  fleet->run(12'000);
+  BOOST_TEST(last_result(*fleet, "west-b-0") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_document_changes_nothing_and_names_its_field)
+{
+  const auto fleet = make_fleet();
+  fleet->publish(
+    "west-a-0",
+    "bad",
+    nlohmann::json::parse(R"({"routes":{"r":{"path_prefix":"/","targets":[{"service":"x"}]}}})"));
+  fleet->run(1000);
+  BOOST_TEST(last_result(*fleet, "west-a-0") == "invalid");
+  BOOST_TEST(fleet->nodes.at("west-a-0").answers.back().error->field ==
+             "/routes/r/targets/0/service");
+  BOOST_TEST(fleet->log.streams[log_stream::config].records.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(recovery)
+
+BOOST_AUTO_TEST_CASE(a_cold_start_of_all_nodes_needs_only_the_log)
+{
+  const auto fleet = make_fleet();
+  for (auto& [id, node] : fleet->nodes) {
+    node.options.snapshot_records = 3;
+  }
+  for (const auto& [id, node] : fleet->nodes) {
+    fleet->kill(id);
+  }
+  for (const auto& [id, node] : fleet->nodes) {
+    fleet->start(id);
+  }
+  fleet->run(6000);
+  for (std::uint64_t version = 1; version <= 7; ++version) {
+    publish_and_wait(*fleet, "west-a-0", version);
+  }
+  fleet->run(1000);
+  fleet->log.keep(log_stream::config, 1);
+  fleet->log.keep(log_stream::snapshots, 1);
+  for (const auto& [id, node] : fleet->nodes) {
+    fleet->kill(id);
+  }
+  for (const auto& [id, node] : fleet->nodes) {
+    fleet->start(id);
+  }
+  BOOST_TEST(fleet->run_until(10'000, [&] { return fleet->all_have(7); }));
+  publish_and_wait(*fleet, "east-a-0", 8);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_snapshot_a_gap_is_an_alarm_and_the_last_good_version_serves)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->cuts = {
+    { "west-a", "log" }, { "west-b", "log" }, { "east-a", "log" }, { "east-b", "log" }
+  };
+  fleet->run(500);
+  for (int i = 0; i < 3; ++i) {
+    fleet->log.append(log_stream::config, "lost before anyone read it");
+  }
+  fleet->log.keep(log_stream::config, 1);
+  fleet->cuts.clear();
+  fleet->run(10'000);
+  BOOST_TEST(fleet->all_have(1));
+  bool has_alarm = false;
+  for (const auto& [id, node] : fleet->nodes) {
+    has_alarm = has_alarm || has_line(node, "event=alarm reason=no_snapshot");
+  }
+  BOOST_TEST(has_alarm);
+}
+
+BOOST_AUTO_TEST_CASE(during_an_outage_a_joiner_gets_the_version_from_its_neighbours)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->log.is_down = true;
+  fleet->run(1000);
+  fleet->kill("east-b-0");
+  fleet->run(500);
+  fleet->start("east-b-0");
+  BOOST_TEST(fleet->run_until(5000, [&] { return fleet->all_have(1); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_region_that_cannot_reach_the_log_gets_it_from_the_other_once)
+{
+  const auto fleet = make_fleet(3);
+  fleet->cuts = { { "east-a", "log" }, { "east-b", "log" } };
+  fleet->run(1000);
+  fleet->publish("west-a-0", "v1", document_with("a"));
+  BOOST_TEST(fleet->run_until(10'000, [&] { return fleet->all_have(1); }));
+  BOOST_TEST(fleet->copies["east"] + fleet->whole_documents <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_region_cut_off_for_longer_than_the_retention_comes_back)
+{
+  const auto fleet = make_fleet(2);
+  publish_and_wait(*fleet, "west-a-0", 1);
+  for (const std::string east : { "east-a", "east-b" }) {
+    fleet->cuts.insert({ east, "west-a" });
+    fleet->cuts.insert({ east, "west-b" });
+    fleet->cuts.insert({ east, "log" });
+  }
+  fleet->run(20'000);
+  for (int i = 2; i <= 90; ++i) {
+    fleet->publish("west-a-0", "v" + std::to_string(i), document_with("v" + std::to_string(i)));
+    fleet->run(300);
+  }
+  BOOST_TEST(fleet->nodes.at("west-a-0").version->number == 90U);
+  BOOST_TEST(fleet->nodes.at("east-a-0").version->number == 1U);
+  fleet->log.keep(log_stream::config, 2);
+  fleet->log.keep(log_stream::snapshots, 0);
+  fleet->cuts.clear();
+  BOOST_TEST(fleet->run_until(60'000, [&] { return fleet->all_have(90); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_node_catches_up_and_never_goes_back)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->nodes.at("east-b-0").is_frozen = true;
+  for (std::uint64_t version = 2; version <= 4; ++version) {
+    fleet->publish(
+      "west-a-0", "v" + std::to_string(version), document_with("v" + std::to_string(version)));
+    fleet->run(1000);
+  }
+  fleet->run(30'000);
+  fleet->nodes.at("east-b-0").is_frozen = false;
+  fleet->run(20);
+  BOOST_TEST(fleet->nodes.at("east-b-0").lease_until <= fleet->now.mono);
+  BOOST_TEST(has_line(fleet->nodes.at("east-b-0"), "event=pause_detected"));
+  BOOST_TEST(fleet->run_until(10'000, [&] { return fleet->all_have(4); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_in_a_newer_format_stops_reading_with_an_alarm)
+{
+  const auto fleet = make_fleet();
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->log.append(log_stream::config, R"({"format":2})");
+  fleet->run(2000);
+  fleet->publish("west-a-0", "v2", document_with("v2"));
+  fleet->run(12'000);
+  BOOST_TEST(fleet->all_have(1));
+  BOOST_TEST(last_result(*fleet, "west-a-0") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(a_herd_of_restarts_adds_no_load_to_the_log)
+{
+  const auto fleet = make_fleet(5);
+  publish_and_wait(*fleet, "west-a-0", 1);
+  const auto quiet = [&] {
+    const std::uint64_t before = fleet->reads;
+    fleet->run(10'000);
+    return fleet->reads - before;
+  };
+  const std::uint64_t at_rest = quiet();
+  for (const auto& [id, node] : fleet->nodes) {
+    if (id.ends_with("-2") || id.ends_with("-3") || id.ends_with("-4")) {
+      fleet->kill(id);
+    }
+  }
+  fleet->run(300);
+  for (const auto& [id, node] : fleet->nodes) {
+    if (!node.state) {
+      fleet->start(id);
+    }
+  }
+  BOOST_TEST(quiet() <= at_rest + at_rest / 10);
+  BOOST_TEST(fleet->all_have(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(members)
+
+/** Whether all nodes that live hold the same member records. */
+static bool
+all_agree(const fake_fleet& fleet)
+{
+  std::set<std::uint64_t> digests;
+  for (const auto& [id, node] : fleet.nodes) {
+    if (node.state) {
+      digests.insert(node.state->members().digest());
+    }
+  }
+  return digests.size() == 1;
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_server_is_known_everywhere_within_a_second)
+{
+  const auto fleet = make_fleet(3);
+  fake_node& leaving = fleet->nodes.at("west-b-1");
+  leaving.card = { "ordering", 20, server_state::ready };
+  BOOST_REQUIRE(fleet->run_until(2000, [&] {
+    return std::all_of(fleet->nodes.begin(), fleet->nodes.end(), [](const auto& item) {
+      const auto found = item.second.view->services.find("ordering");
+      return found != item.second.view->services.end() && found->second.servers.size() == 1;
+    });
+  }));
+  leaving.card.state = server_state::draining;
+  BOOST_TEST(fleet->run_until(1000, [&] {
+    return std::all_of(fleet->nodes.begin(), fleet->nodes.end(), [](const auto& item) {
+      return item.second.view->services.at("ordering").servers.empty();
+    });
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_node_is_found_gone_and_its_return_is_known)
+{
+  const auto fleet = make_fleet(3);
+  fleet->kill("east-a-2");
+  BOOST_TEST(fleet->run_until(15'000, [&] {
+    return is_tombstone(fleet->nodes.at("west-b-2").view->members.at("east-a-2"));
+  }));
+  fleet->start("east-a-2");
+  BOOST_TEST(fleet->run_until(10'000, [&] {
+    return !is_tombstone(fleet->nodes.at("west-b-2").view->members.at("east-a-2"));
+  }));
+  BOOST_TEST(fleet->run_until(10'000, [&] { return all_agree(*fleet); }));
+}
+
+BOOST_AUTO_TEST_CASE(hubs_and_relays_are_replaced)
+{
+  const auto fleet = make_fleet(3);
+  publish_and_wait(*fleet, "west-a-1", 1);
+  for (const node_id id : { "west-a-0", "west-b-0", "east-a-0", "east-b-0" }) {
+    fleet->kill(id);
+  }
+  fleet->publish("west-a-1", "v2", document_with("v2"));
+  BOOST_TEST(fleet->run_until(10'000, [&] { return fleet->all_have(2); }));
+  BOOST_TEST(fleet->run_until(30'000, [&] {
+    return std::all_of(fleet->nodes.begin(), fleet->nodes.end(), [](const auto& item) {
+      return !item.second.state || is_tombstone(item.second.view->members.at("west-a-0"));
+    });
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_zone_is_found_gone_as_a_whole)
+{
+  const auto fleet = make_fleet(4);
+  for (const auto& [id, node] : fleet->nodes) {
+    if (node.record.zone == "west-b") {
+      fleet->kill(id);
+    }
+  }
+  BOOST_TEST(fleet->run_until(40'000, [&] {
+    const auto& members = fleet->nodes.at("east-b-3").view->members;
+    return is_tombstone(members.at("west-b-0")) && is_tombstone(members.at("west-b-3"));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(regions_that_lose_each_other_bury_nobody)
+{
+  const auto fleet = make_fleet(2);
+  for (const std::string east : { "east-a", "east-b" }) {
+    fleet->cuts.insert({ east, "west-a" });
+    fleet->cuts.insert({ east, "west-b" });
+  }
+  fleet->run(60'000);
+  for (const auto& [id, node] : fleet->nodes) {
+    for (const auto& [other, record] : node.view->members) {
+      BOOST_TEST(!is_tombstone(record));
+    }
+    BOOST_TEST(node.lease_until > fleet->now.mono);
+  }
+  publish_and_wait(*fleet, "east-a-0", 1);
+  fleet->cuts.clear();
+  BOOST_TEST(fleet->run_until(30'000, [&] { return all_agree(*fleet); }));
+}
+
+BOOST_AUTO_TEST_CASE(
+  nodes_that_are_cut_off_from_most_stop_to_count_as_in_touch_before_they_are_called_gone)
+{
+  const auto fleet = make_fleet(3);
+  for (const std::string other : { "west-b", "east-a", "east-b" }) {
+    fleet->cuts.insert({ "west-a", other });
+  }
+  bool was_called_gone = false;
+  for (int i = 0; i < 4000 && !was_called_gone; ++i) {
+    fleet->run(10);
+    for (const auto& [id, node] : fleet->nodes) {
+      for (const auto& [other, record] : node.view->members) {
+        const bool is_buried = is_tombstone(record) && record.zone == "west-a";
+        was_called_gone = was_called_gone || is_buried;
+        BOOST_REQUIRE(!is_buried || fleet->nodes.at(other).lease_until <= fleet->now.mono);
+      }
+    }
+  }
+  BOOST_TEST(was_called_gone);
+  fleet->run(20'000);
+  BOOST_TEST(fleet->nodes.at("west-a-1").lease_until <= fleet->now.mono);
+  BOOST_TEST(fleet->nodes.at("west-b-1").lease_until > fleet->now.mono);
+  fleet->cuts.clear();
+  BOOST_TEST(fleet->run_until(40'000, [&] {
+    return all_agree(*fleet) && fleet->nodes.at("west-a-1").lease_until > fleet->now.mono;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(what_the_fleet_has_in_force_is_counted)
+{
+  const auto fleet = make_fleet(3);
+  publish_and_wait(*fleet, "west-a-0", 1);
+  fleet->run(5000);
+  for (const auto& [id, node] : fleet->nodes) {
+    const version_summary& seen = node.state->fleet();
+    BOOST_TEST((seen.counts == std::vector<version_count>{ { 1, 12 } }), id);
+  }
+  fleet->kill("east-b-2");
+  fleet->run(6000);
+  BOOST_TEST(count_nodes(fleet->nodes.at("west-a-2").state->fleet()) == 11U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/process/log_client_test.cpp
@@ -0,0 +1,46 @@
+// Contract tests of what the log service's answers may look like.
+#include "process/process.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+BOOST_AUTO_TEST_SUITE(log_pages)
+
+BOOST_AUTO_TEST_CASE(a_page_is_read)
+{
+  const log_answer answer = parse_log_page(
+    R"({"first":3,"next":6,"records":[{"offset":4,"data":"YQ=="},{"offset":5,"data":""}]})");
+  const auto* page = std::get_if<log_page>(&answer);
+  BOOST_REQUIRE(page != nullptr);
+  BOOST_TEST(page->first == 3U);
+  BOOST_TEST(page->next == 6U);
+  BOOST_TEST(page->records.size() == 2U);
+  BOOST_TEST(page->records[0].bytes == "a");
+}
+
+BOOST_AUTO_TEST_CASE(malformed_pages_are_refused_whole)
+{
+  for (
+    const std::string body : {
+      R"()",
+      R"([])",
+      R"({"first":1,"next":2})",
+      R"({"first":-1,"next":2,"records":[]})",
+      R"({"first":1,"next":2,"records":{}})",
+      R"({"first":1,"next":9,"records":[{"offset":1,"data":"YQ=="},{"offset":3,"data":"YQ=="}]})",
+      R"({"first":1,"next":9,"records":[{"offset":2,"data":"YQ=="},{"offset":1,"data":"YQ=="}]})",
+      R"({"first":5,"next":9,"records":[{"offset":4,"data":"YQ=="}]})",
+      R"({"first":1,"next":2,"records":[{"offset":2,"data":"YQ=="}]})",
+      R"({"first":1,"next":2,"records":[{"offset":1,"data":"*"}]})",
+      R"({"first":1,"next":2,"records":[{"offset":1,"data":7}]})",
+      R"({"first":1,"next":2,"records":[7]})",
+    }) {
+    const log_answer answer = parse_log_page(body);
+    const auto* fault = std::get_if<log_fault>(&answer);
+    BOOST_REQUIRE_MESSAGE(fault != nullptr, body);
+    BOOST_TEST(enum_name(*fault) == "malformed");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/process/membership_test.cpp
@@ -0,0 +1,90 @@
+// Tests of how member records replace each other.
+#include "process/process.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+/** A record of a node with a ready server. */
+static member_record
+make_record(const node_id& id, std::uint64_t incarnation, std::uint64_t sequence)
+{
+  member_record record;
+  record.id = id;
+  record.incarnation = incarnation;
+  record.sequence = sequence;
+  record.state = member_state::alive;
+  record.region = "west";
+  record.zone = "west-a";
+  record.server = { "catalogue", 20, server_state::ready };
+  return record;
+}
+
+BOOST_AUTO_TEST_SUITE(member_records)
+
+BOOST_AUTO_TEST_CASE(newer_records_win_in_any_order)
+{
+  std::vector<member_record> updates = { make_record("b", 5, 1),
+                                         make_record("b", 5, 2),
+                                         make_record("b", 6, 0) };
+  updates[1].state = member_state::gone;
+  std::vector<std::size_t> order = { 0, 1, 2 };
+  do {
+    membership members(make_record("a", 1, 0), { 0, 1000 });
+    for (const std::size_t i : order) {
+      members.merge(updates[i], { 0, 1000 });
+    }
+    BOOST_TEST(members.records().at("b").incarnation == 6U);
+    BOOST_TEST(enum_name(members.records().at("b").state) == "alive");
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+BOOST_AUTO_TEST_CASE(a_tombstone_wins_over_the_record_that_it_buries_and_loses_to_the_next)
+{
+  membership members(make_record("a", 1, 0), { 0, 1000 });
+  members.merge(make_record("b", 5, 1), { 0, 1000 });
+  BOOST_TEST(members.mark_gone("b", { 0, 2000 }).has_value());
+  BOOST_TEST(!members.merge(make_record("b", 5, 1), { 0, 3000 }).has_value());
+  BOOST_TEST(enum_name(members.records().at("b").state) == "gone");
+  BOOST_TEST(members.merge(make_record("b", 5, 2), { 0, 4000 }).has_value());
+  BOOST_TEST(enum_name(members.records().at("b").state) == "alive");
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_is_called_gone_refutes_it)
+{
+  membership members(make_record("a", 1, 3), { 0, 1000 });
+  member_record tombstone = make_record("a", 1, 3);
+  tombstone.state = member_state::gone;
+  const auto refuted = members.merge(tombstone, { 0, 9000 });
+  BOOST_REQUIRE(refuted.has_value());
+  BOOST_TEST(refuted->sequence == 4U);
+  BOOST_TEST(enum_name(refuted->state) == "alive");
+  // Others may have run its keys meanwhile: it counts as new to them.
+  BOOST_TEST(members.build_view()->services.at("catalogue").live_since.at("a") == 9000);
+}
+
+BOOST_AUTO_TEST_CASE(only_live_servers_are_offered)
+{
+  membership members(make_record("a", 1, 0), { 0, 1000 });
+  members.merge(make_record("b", 5, 1), { 0, 1000 });
+  member_record draining = make_record("c", 5, 1);
+  draining.server.state = server_state::draining;
+  members.merge(draining, { 0, 1500 });
+  const member_view_ptr view = members.build_view();
+  BOOST_TEST(view->services.at("catalogue").servers.size() == 2U);
+  BOOST_TEST(view->services.at("catalogue").left_at.at("c") == 1500);
+}
+
+BOOST_AUTO_TEST_CASE(the_digest_does_not_depend_on_the_order)
+{
+  membership first(make_record("a", 1, 0), { 0, 0 });
+  membership second(make_record("a", 1, 0), { 0, 0 });
+  first.merge(make_record("b", 1, 0), { 0, 0 });
+  first.merge(make_record("c", 1, 0), { 0, 0 });
+  second.merge(make_record("c", 1, 0), { 0, 0 });
+  BOOST_TEST(first.digest() != second.digest());
+  second.merge(make_record("b", 1, 0), { 0, 0 });
+  BOOST_TEST(first.digest() == second.digest());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/request/pick_test.cpp
@@ -0,0 +1,128 @@
+// Tests of picking a server.
+#include "request/request.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+/** A node with a ready server, in the zone that its name begins with. */
+static member_record
+make_node(const node_id& id, const std::string& region, const std::string& zone)
+{
+  member_record record;
+  record.id = id;
+  record.incarnation = 1;
+  record.state = member_state::alive;
+  record.region = region;
+  record.zone = zone;
+  record.server = { "catalogue", 2, server_state::ready };
+  return record;
+}
+
+/** Two servers in the zone, one in the region, one across. */
+struct fleet
+{
+  membership members{ make_node("self", "west", "wa"), { 0, 0 } };
+  balancer seen;
+  random_source random{ 1 };
+  compiled_version version;
+  member_view_ptr view;
+
+  fleet()
+  {
+    members.merge(make_node("near", "west", "wa"), { 0, 0 });
+    members.merge(make_node("region", "west", "wb"), { 0, 0 });
+    members.merge(make_node("far", "east", "ea"), { 0, 0 });
+    view = members.build_view();
+  }
+
+  std::optional<pick_decision> pick(const pick_request& request, mono_ms now = 100)
+  {
+    return pick_server(version, *view, seen, "self", request, now, random);
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(picks)
+
+BOOST_AUTO_TEST_CASE(near_servers_first_and_farther_ones_only_when_they_are_full)
+{
+  fleet all;
+  const pick_request request{ "catalogue", work_class::interactive, "", {} };
+  BOOST_TEST(enum_name(all.pick(request)->reason) == "same_zone");
+  for (const char* node : { "self", "near" }) {
+    all.seen.note_sent(node);
+    all.seen.note_sent(node);
+  }
+  BOOST_TEST(all.pick(request)->server->id == "region");
+  all.seen.note_sent("region");
+  all.seen.note_sent("region");
+  BOOST_TEST(all.pick(request)->server->id == "far");
+  BOOST_TEST(enum_name(all.pick({ "catalogue", work_class::bulk, "", {} })->reason) == "crowded");
+  all.seen.note_sent("far");
+  all.seen.note_sent("far");
+  const auto crowded = all.pick(request);
+  BOOST_TEST(enum_name(crowded->reason) == "crowded");
+  BOOST_TEST(crowded->server->zone == "wa");
+}
+
+BOOST_AUTO_TEST_CASE(reports_count_while_they_are_fresh_and_never_hide_what_this_node_sent)
+{
+  fleet all;
+  all.seen.note_load("near", { 2, 5, 2 }, 100);
+  all.seen.note_load("self", { 2, 5, 2 }, 100);
+  const pick_request request{ "catalogue", work_class::interactive, "", {} };
+  BOOST_TEST(all.pick(request, 200)->server->id == "region");
+  BOOST_TEST(enum_name(all.pick(request, 5000)->reason) == "same_zone");
+  all.seen.note_sent("near");
+  all.seen.note_sent("near");
+  all.seen.note_load("near", { 0, 0, 2 }, 5000);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(all.pick(request, 5001)->server->id == "self");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(blocked_and_excluded_servers_are_left_out)
+{
+  fleet all;
+  all.version.content.blocked_servers = { "near", "self" };
+  const auto pick = all.pick({ "catalogue", work_class::interactive, "", { "region" } });
+  BOOST_TEST(pick->server->id == "far");
+  BOOST_TEST(
+    !all.pick({ "catalogue", work_class::interactive, "", { "region", "far" } }).has_value());
+  BOOST_TEST(!all.pick({ "none", work_class::interactive, "", {} }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_straggler_gets_little_work)
+{
+  fleet all;
+  for (int i = 0; i < 50; ++i) {
+    all.seen.note_answer("near", 100, { 0, 0, 2 }, 100);
+    all.seen.note_answer("self", 10, { 0, 0, 2 }, 100);
+  }
+  int slow = 0;
+  for (int i = 0; i < 1000; ++i) {
+    slow +=
+      all.pick({ "catalogue", work_class::interactive, "", {} })->server->id == "near" ? 1 : 0;
+  }
+  BOOST_TEST(slow < 300);
+}
+
+BOOST_AUTO_TEST_CASE(failures_eject_for_a_time_and_never_most_of_the_servers)
+{
+  fleet all;
+  for (int i = 0; i < 3; ++i) {
+    all.seen.note_failure("near", 100);
+  }
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST(all.pick({ "catalogue", work_class::interactive, "", {} }, 200)->server->id ==
+               "self");
+  }
+  for (const char* node : { "self", "region", "far" }) {
+    for (int i = 0; i < 3; ++i) {
+      all.seen.note_failure(node, 100);
+    }
+  }
+  BOOST_TEST(all.pick({ "catalogue", work_class::interactive, "", {} }, 200).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/version/record_test.cpp
@@ -0,0 +1,43 @@
+// Tests of the records in the log: round trips, and damage that must be seen.
+#include "fakes/expect.h"
+#include "version/version.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace shallotfield;
+
+BOOST_AUTO_TEST_SUITE(log_records)
+
+BOOST_AUTO_TEST_CASE(a_proposal_comes_back_as_it_was)
+{
+  const proposal value{ "id",
+                        "author",
+                        1234,
+                        7,
+                        nlohmann::json::parse(R"([{"op":"add","path":"/services","value":{}}])"),
+                        "digest" };
+  const auto parsed = value_of([&] { return parse_proposal(encode_proposal(value)); });
+  BOOST_REQUIRE(parsed.has_value());
+  BOOST_TEST((*parsed == value));
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_that_was_changed_in_any_byte_is_refused)
+{
+  ledger book;
+  proposal change =
+    make_proposal(*book.current(), { { "services", { { "a", nlohmann::json::object() } } } });
+  change.publish_id = "one";
+  book.fold(1, encode_proposal(change), std::nullopt);
+  const std::string good = encode_snapshot(book.to_snapshot());
+  BOOST_TEST(value_of([&] { return parse_snapshot(good); }).has_value());
+  for (std::size_t at = 0; at < good.size(); ++at) {
+    std::string bad = good;
+    bad[at] ^= 1;
+    const auto parsed = value_of([&] { return parse_snapshot(bad); });
+    BOOST_REQUIRE_MESSAGE(!parsed || *parsed == book.to_snapshot(), bad);
+    BOOST_REQUIRE(!parsed || value_of([&] { return parse_snapshot(bad); })->offset == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
