--- a/src/connection/control_message_codec.cpp
+++ b/src/connection/control_message_codec.cpp
@@ -2,6 +2,8 @@
 #include "control_message_codec.h"
 #include "json_reader.h"
 
+#include <boost/leaf/handle_errors.hpp>
+
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
@@ -90,6 +92,7 @@
 struct control_encoder
 {
   std::string_view payload; ///< Set for messages that carry raw bytes.
+  std::string text;         ///< Keeps bytes that were made for the payload.
 
   json operator()(const hello_message& message)
   {
@@ -138,6 +141,12 @@
     return { { "fleet", summary_to_json(message.fleet) } };
   }
   json operator()(const goodbye_message& /*message*/) { return json::object(); }
+  json operator()(const census_message& message)
+  {
+    text = encode_census(message.found);
+    payload = text;
+    return { { "offset", message.found.offset } };
+  }
 };
 
 std::string
@@ -225,6 +234,24 @@
   return control_message(std::move(result));
 }
 
+/** Reads a census. */
+static leaf::result<control_message>
+parse_census_message(const json& head, std::string_view payload)
+{
+  BOOST_LEAF_AUTO(offset, read_member<std::uint64_t>(head, "offset"));
+  census_message result;
+  const bool is_valid = leaf::try_handle_all(
+    [&]() -> leaf::result<bool> {
+      BOOST_LEAF_ASSIGN(result.found, parse_census(offset, payload));
+      return true;
+    },
+    [] { return false; });
+  if (!is_valid) {
+    return bad_message();
+  }
+  return control_message(std::move(result));
+}
+
 leaf::result<control_message>
 parse_control(const frame& from)
 {
@@ -256,6 +283,8 @@
     }
     case control_kind::goodbye:
       return control_message(goodbye_message{});
+    case control_kind::census:
+      return parse_census_message(head, from.payload);
   }
   return bad_message();
 }
--- a/src/connection/control_message_type.h
+++ b/src/connection/control_message_type.h
@@ -22,9 +22,10 @@
   heartbeat, ///< The sender is alive; what it and those below it have in force.
   fleet,     ///< What the whole fleet has in force.
   goodbye,   ///< The sender closes the link on purpose and is not gone.
+  census,    ///< The nodes that make up the fleet.
 };
 
-inline constexpr enum_table<control_kind, 8> CONTROL_KIND_ROWS = { {
+inline constexpr enum_table<control_kind, 9> CONTROL_KIND_ROWS = { {
   { control_kind::hello, "hello" },
   { control_kind::subscribe, "subscribe" },
   { control_kind::entries, "entries" },
@@ -33,8 +34,9 @@
   { control_kind::heartbeat, "heartbeat" },
   { control_kind::fleet, "fleet" },
   { control_kind::goodbye, "goodbye" },
+  { control_kind::census, "census" },
 } };
-static_assert(is_complete(CONTROL_KIND_ROWS, control_kind::goodbye));
+static_assert(is_complete(CONTROL_KIND_ROWS, control_kind::census));
 
 /** @return The name table of control message kinds. */
 constexpr const auto&
@@ -135,6 +137,13 @@
   bool operator==(const goodbye_message&) const = default;
 };
 
+/** The census, when it changes and when a link opens. */
+struct census_message
+{
+  census found; ///< The census.
+  bool operator==(const census_message&) const = default;
+};
+
 /** Any control message; the alternatives stand in the order of control_kind. */
 using control_message = std::variant<hello_message,
                                      subscribe_message,
@@ -143,7 +152,8 @@
                                      members_message,
                                      heartbeat_message,
                                      fleet_message,
-                                     goodbye_message>;
+                                     goodbye_message,
+                                     census_message>;
 
 /** @param message Any control message. @return Its kind. */
 inline control_kind
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -70,6 +70,7 @@
   std::erase_if(unreachable_, [this](const auto& item) { return item.second <= now_.mono; });
   replan();
   check_duties();
+  keep_census();
   update_lease();
   if (now_.mono >= next_heartbeat_) {
     next_heartbeat_ = now_.mono + options_.heartbeat_ms;
--- a/src/process/control_base.h
+++ b/src/process/control_base.h
@@ -179,14 +179,24 @@
   void spread(const std::optional<member_record>& record, std::optional<link_id> source);
   void send_all_members(link_id id, peer_link& link);
   void update_parent();
-  void update_lease();
-  bool is_forgotten(const node_id& id) const;
   void update_fleet();
   version_summary summarise_below() const;
   std::optional<link_id> find_link(const node_id& peer) const;
   bool is_parent(link_id id) const { return parent_link_ == id; }
   bool is_in_touch_link(const peer_link& link) const;
 
+  // control_census.cpp: the census and the lease.
+  void keep_census();
+  void on_census(log_purpose purpose, const log_answer& answer);
+  void on_message(link_id link, const census_message& message);
+  void adopt_census(const census& found, std::optional<link_id> source);
+  census count_fleet() const;
+  void update_lease();
+  bool is_forgotten(const node_id& id) const;
+  std::uint64_t count_known(const std::set<std::string>& regions) const;
+  bool is_most_of_census(const std::set<std::string>& regions) const;
+  bool is_first_region() const;
+
   void add(control_effect effect) { effects_.push_back(std::move(effect)); }
   void log(log_event event, std::vector<log_field> fields);
   void send(link_id link, control_message message);
@@ -218,10 +228,15 @@
   bool was_blocked_ = false;                     ///< It blocks this node's server.
   std::size_t wholes_left_ = TRANSFERS_PER_TICK; ///< Snapshots that may be sent in this tick.
   std::map<publish_ticket, pending_publish> publishes_; ///< Publishes under way.
-  version_summary fleet_;                               ///< What the fleet has in force.
-  version_summary sent_fleet_;                          ///< As last sent down.
-  mono_ms lease_until_ = 0;                             ///< In touch until then.
-  server_card announced_;                               ///< What the server said last.
+  std::optional<census> census_;        ///< The fleet as last written; none: not heard of yet.
+  census written_census_;               ///< The one that is being written.
+  bool census_call_ = false;            ///< A call for the census is under way.
+  mono_ms next_census_at_ = 0;          ///< When to look at it again.
+  mono_ms census_differs_since_ = 0;    ///< Since when the fleet differs from it; 0: it doesn't.
+  version_summary fleet_;               ///< What the fleet has in force.
+  version_summary sent_fleet_;          ///< As last sent down.
+  mono_ms lease_until_ = 0;             ///< In touch until then.
+  server_card announced_;               ///< What the server said last.
   mono_ms server_lease_until_ = 0;      ///< The server's announcement holds until then.
   mono_ms last_event_ = 0;              ///< Time of the latest event.
   mono_ms next_heartbeat_ = 0;          ///< When the next heartbeats are due.
--- /dev/null
+++ b/src/process/control_census.cpp
@@ -0,0 +1,200 @@
+// The control state of a node: the census of the fleet, and the lease that says that this node is
+// in touch with most of it.
+#include "control_base.h"
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Time for which the fleet has to differ from the census before it is written again. */
+static constexpr mono_ms CENSUS_DELAY_MS = 10'000;
+
+/** Pause between two tries to read or write the census. */
+static constexpr mono_ms CENSUS_RETRY_MS = 1000;
+
+/** Share of gone_after_ms for which a lease holds. With the heartbeats that a relay still counts
+ * and the age of what the hub heard, a lease ends before anybody calls its holder gone. */
+static constexpr mono_ms LEASE_SHARE = 2;
+
+census
+control::count_fleet() const
+{
+  census result;
+  for (const auto& [id, record] : members_.records()) {
+    if (!is_tombstone(record)) {
+      result.nodes[record.region].push_back(id);
+    }
+  }
+  return result;
+}
+
+void
+control::keep_census()
+{
+  if (plan_.role != node_role::hub || !is_joined_ || census_call_ || now_.mono < next_census_at_) {
+    return;
+  }
+  next_census_at_ = now_.mono + CENSUS_RETRY_MS;
+  if (!census_) {
+    census_call_ = true;
+    add(read_log{ log_purpose::find_census, log_stream::census, 0, 1, 0 });
+    return;
+  }
+  const census current = count_fleet();
+  const bool differs = current.nodes != census_->nodes;
+  if (!differs) {
+    census_differs_since_ = 0;
+    return;
+  }
+  if (census_differs_since_ == 0) {
+    census_differs_since_ = now_.mono;
+  }
+  const bool is_first = census_->offset == 0;
+  const bool may_write = is_first || (is_first_region() && lease_until_ > now_.mono &&
+                                      now_.mono - census_differs_since_ >= CENSUS_DELAY_MS);
+  if (may_write) {
+    census_call_ = true;
+    written_census_ = current;
+    add(append_log{
+      log_purpose::write_census, 0, log_stream::census, encode_census(written_census_) });
+  }
+}
+
+void
+control::on_census(log_purpose purpose, const log_answer& answer)
+{
+  census_call_ = false;
+  const auto* page = std::get_if<log_page>(&answer);
+  if (purpose == log_purpose::find_census && page != nullptr) {
+    if (page->next == 1) {
+      census_ = census{}; // Nobody ever wrote one: the fleet starts for the first time.
+    } else {
+      census_call_ = true;
+      add(read_log{ log_purpose::fetch_census, log_stream::census, page->next - 1, 1, 0 });
+    }
+  } else if (purpose == log_purpose::fetch_census && page != nullptr && !page->records.empty()) {
+    const log_record& record = page->records.back();
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(found, parse_census(record.offset, record.bytes));
+        adopt_census(found, std::nullopt);
+        return {};
+      },
+      [&](const census_error& error) {
+        log(log_event::alarm, { { "reason", "bad_census" }, { "offset", error.offset } });
+      },
+      [] {});
+  } else if (purpose == log_purpose::write_census) {
+    if (const auto* appended = std::get_if<log_appended>(&answer)) {
+      written_census_.offset = appended->offset;
+      adopt_census(written_census_, std::nullopt);
+    }
+  }
+}
+
+void
+control::adopt_census(const census& found, std::optional<link_id> source)
+{
+  if (census_ && census_->offset >= found.offset) {
+    return;
+  }
+  census_ = found;
+  for (const auto& [id, link] : links_) {
+    if (link.peer && link.is_open && id != source) {
+      send(id, census_message{ found });
+    }
+  }
+}
+
+void
+control::on_message(link_id link, const census_message& message)
+{
+  adopt_census(message.found, link);
+}
+
+bool
+control::is_forgotten(const node_id& id) const
+{
+  const std::optional<unix_ms> since = members_.gone_since(id);
+  return since && now_.unix - *since > options_.key_window_ms;
+}
+
+std::uint64_t
+control::count_known(const std::set<std::string>& regions) const
+{
+  std::uint64_t known = 0;
+  for (const auto& [id, record] : members_.records()) {
+    const bool counts = record.state != member_state::left && regions.contains(record.region);
+    known += counts && !is_forgotten(id) ? 1 : 0;
+  }
+  for (const auto& [region, ids] : census_->nodes) {
+    for (const node_id& id : ids) {
+      known += regions.contains(region) && !members_.records().contains(id) ? 1 : 0;
+    }
+  }
+  return known;
+}
+
+bool
+control::is_most_of_census(const std::set<std::string>& regions) const
+{
+  std::uint64_t total = 0;
+  std::uint64_t present = 0;
+  for (const auto& [region, ids] : census_->nodes) {
+    if (!regions.contains(region)) {
+      continue;
+    }
+    for (const node_id& id : ids) {
+      const auto record = members_.records().find(id);
+      ++total;
+      present += record != members_.records().end() && !is_tombstone(record->second) ? 1 : 0;
+    }
+  }
+  return 2 * present > total;
+}
+
+void
+control::update_lease()
+{
+  if (plan_.role != node_role::hub || !is_joined_ || !census_ || census_->offset == 0) {
+    return;
+  }
+  // The nodes that this hub should hear of: those of its region, and of regions with a link.
+  std::set<std::string> regions = { members_.own().region };
+  std::vector<std::pair<mono_ms, std::uint64_t>> heard;
+  for (const auto& [id, link] : links_) {
+    if (!link.peer || !link.is_open) {
+      continue;
+    }
+    const bool is_below = link.is_subscribed && link.peer->region == members_.own().region;
+    const bool is_other = link.peer->region != members_.own().region;
+    if (is_below || (is_other && is_in_touch_link(link))) {
+      regions.insert(link.peer->region);
+      heard.emplace_back(link.last_heard, count_nodes(link.below));
+    }
+  }
+  if (!is_most_of_census(regions)) {
+    return;
+  }
+  const std::uint64_t known = count_known(regions);
+  std::sort(heard.begin(), heard.end(), std::greater<>());
+  std::uint64_t in_touch = 1;
+  mono_ms since = now_.mono;
+  for (const auto& [at, nodes] : heard) {
+    if (2 * in_touch > known) {
+      break;
+    }
+    in_touch += nodes;
+    since = at;
+  }
+  const mono_ms until = since + options_.gone_after_ms / LEASE_SHARE;
+  if (2 * in_touch > known && until > lease_until_) {
+    lease_until_ = until;
+    add(apply_lease{ lease_until_ });
+  }
+}
+
+} // namespace shallotfield
--- a/src/process/control_config.cpp
+++ b/src/process/control_config.cpp
@@ -39,6 +39,11 @@
     case log_purpose::publish:
       on_published(event.publish, event.answer);
       break;
+    case log_purpose::find_census:
+    case log_purpose::fetch_census:
+    case log_purpose::write_census:
+      on_census(event.purpose, event.answer);
+      break;
   }
   check_publishes();
   read_on();
@@ -162,16 +167,19 @@
   note_log_failure(log_fault::malformed);
 }
 
+bool
+control::is_first_region() const
+{
+  return std::none_of(
+    members_.records().begin(), members_.records().end(), [this](const auto& item) {
+      return !is_tombstone(item.second) && item.second.region < members_.own().region;
+    });
+}
+
 void
 control::write_snapshots()
 {
-  bool is_first_region = true;
-  for (const auto& [id, record] : members_.records()) {
-    if (!is_tombstone(record) && record.region < members_.own().region) {
-      is_first_region = false;
-    }
-  }
-  const bool is_duty = is_joined_ && plan_.role == node_role::hub && is_first_region;
+  const bool is_duty = is_joined_ && plan_.role == node_role::hub && is_first_region();
   if (is_duty && !snapshots_.is_duty) {
     snapshots_.due_at = now_.mono + options_.snapshot_interval_ms / 2;
   }
--- a/src/process/control_links.cpp
+++ b/src/process/control_links.cpp
@@ -21,10 +21,6 @@
 /** Nodes of a zone that can't be reached before the whole zone counts as such. */
 static constexpr std::size_t ZONE_LOST_AFTER_NODES = 2;
 
-/** Share of gone_after_ms for which a lease holds. With the heartbeats that a relay still counts
- * and the age of what the hub heard, a lease ends before anybody calls its holder gone. */
-static constexpr mono_ms LEASE_SHARE = 2;
-
 void
 merge_summary(version_summary& into, const version_summary& from)
 {
@@ -185,6 +181,9 @@
   if (!link.is_outgoing && is_first) {
     send(id, hello_message{ PROTOCOL_VERSION, members_.own(), members_.digest() });
   }
+  if (census_ && census_->offset > 0) {
+    send(id, census_message{ *census_ });
+  }
   const bool differs = message.members_digest != members_.digest();
   spread(members_.merge(message.sender, now_), id);
   link.has_all_members = !differs;
@@ -383,6 +382,9 @@
     link.ahead_heartbeats = 0;
     subscribe_to(id, is_parent(id), false);
   }
+  if (census_ && census_->offset > 0) {
+    send(id, census_message{ *census_ });
+  }
   const bool differs = message.members_digest != members_.digest();
   link.differing_heartbeats = differs ? link.differing_heartbeats + 1 : 0;
   const bool repairs = is_parent(id) || (!link.is_subscribed && link.is_outgoing);
@@ -424,57 +426,6 @@
   }
 }
 
-void
-control::update_lease()
-{
-  if (plan_.role != node_role::hub || !is_joined_) {
-    return;
-  }
-  // The nodes that this hub should hear of: those of its region, and of regions with a link.
-  std::set<std::string> regions = { members_.own().region };
-  std::vector<std::pair<mono_ms, std::uint64_t>> heard;
-  for (const auto& [id, link] : links_) {
-    if (!link.peer || !link.is_open) {
-      continue;
-    }
-    const bool is_below = link.is_subscribed && link.peer->region == members_.own().region;
-    const bool is_other = link.peer->region != members_.own().region;
-    if (is_below || (is_other && is_in_touch_link(link))) {
-      regions.insert(link.peer->region);
-      heard.emplace_back(link.last_heard, count_nodes(link.below));
-    }
-  }
-  std::uint64_t known = 0;
-  for (const auto& [id, record] : members_.records()) {
-    const bool counts = record.state != member_state::left && regions.contains(record.region);
-    known += counts && !is_forgotten(id) ? 1 : 0;
-  }
-  std::sort(heard.begin(), heard.end(), std::greater<>());
-  std::uint64_t in_touch = 1;
-  mono_ms since = now_.mono;
-  for (const auto& [at, nodes] : heard) {
-    if (2 * in_touch > known) {
-      break;
-    }
-    in_touch += nodes;
-    since = at;
-  }
-  if (2 * in_touch > known) {
-    const mono_ms until = since + options_.gone_after_ms / LEASE_SHARE;
-    if (until > lease_until_) {
-      lease_until_ = until;
-      add(apply_lease{ lease_until_ });
-    }
-  }
-}
-
-bool
-control::is_forgotten(const node_id& id) const
-{
-  const std::optional<unix_ms> since = members_.gone_since(id);
-  return since && now_.unix - *since > options_.key_window_ms;
-}
-
 void
 control::check_silence()
 {
--- a/src/process/control_type.h
+++ b/src/process/control_type.h
@@ -48,16 +48,22 @@
   fetch_snapshot, ///< Reading the latest snapshots.
   write_snapshot, ///< Appending a snapshot.
   publish,        ///< Appending a proposal.
+  find_census,    ///< Learning where the stream of censuses ends.
+  fetch_census,   ///< Reading the latest census.
+  write_census,   ///< Appending a census.
 };
 
-inline constexpr enum_table<log_purpose, 5> LOG_PURPOSE_ROWS = { {
+inline constexpr enum_table<log_purpose, 8> LOG_PURPOSE_ROWS = { {
   { log_purpose::follow, "follow" },
   { log_purpose::find_snapshot, "find_snapshot" },
   { log_purpose::fetch_snapshot, "fetch_snapshot" },
   { log_purpose::write_snapshot, "write_snapshot" },
   { log_purpose::publish, "publish" },
+  { log_purpose::find_census, "find_census" },
+  { log_purpose::fetch_census, "fetch_census" },
+  { log_purpose::write_census, "write_census" },
 } };
-static_assert(is_complete(LOG_PURPOSE_ROWS, log_purpose::publish));
+static_assert(is_complete(LOG_PURPOSE_ROWS, log_purpose::write_census));
 
 /** @return The name table of purposes. */
 constexpr const auto&
--- a/src/process/log_client_type.h
+++ b/src/process/log_client_type.h
@@ -14,13 +14,15 @@
 {
   config,    ///< Proposals by operators.
   snapshots, ///< Snapshots of what the proposals came to.
+  census,    ///< The nodes that make up the fleet.
 };
 
-inline constexpr enum_table<log_stream, 2> LOG_STREAM_ROWS = { {
+inline constexpr enum_table<log_stream, 3> LOG_STREAM_ROWS = { {
   { log_stream::config, "config" },
   { log_stream::snapshots, "snapshots" },
+  { log_stream::census, "census" },
 } };
-static_assert(is_complete(LOG_STREAM_ROWS, log_stream::snapshots));
+static_assert(is_complete(LOG_STREAM_ROWS, log_stream::census));
 
 /** @return The name table of streams. */
 constexpr const auto&
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -1,5 +1,6 @@
 // What lives as long as the process: settings, logs, metrics, clocks, membership, platform client.
 #pragma once
+#include "census_type.h"     // IWYU pragma: export
 #include "clock_type.h"      // IWYU pragma: export
 #include "enum_table.h"      // IWYU pragma: export
 #include "log_client_base.h" // IWYU pragma: export
--- a/tests/connection/codec_test.cpp
+++ b/tests/connection/codec_test.cpp
@@ -29,7 +29,8 @@
            members_message{ { record, record }, true, false },
            heartbeat_message{ 9, 10, 11, 12, 13, summary },
            fleet_message{ summary },
-           goodbye_message{} };
+           goodbye_message{},
+           census_message{ { 3, { { "west", { "west-a-1" } } } } } };
 }
 
 /** One message of each kind on traffic links. */
