--- a/src/connection/control_message_codec.cpp
+++ b/src/connection/control_message_codec.cpp
@@ -132,9 +132,13 @@
   }
   json operator()(const heartbeat_message& message)
   {
-    return { { "offset", message.offset },  { "members", message.members_digest },
-             { "stamp", message.stamp },    { "echo", message.echo },
-             { "lease", message.lease_ms }, { "below", summary_to_json(message.below) } };
+    return { { "offset", message.offset },
+             { "members", message.members_digest },
+             { "stamp", message.stamp },
+             { "echo", message.echo },
+             { "lease", message.lease_ms },
+             { "cut", message.is_cut },
+             { "below", summary_to_json(message.below) } };
   }
   json operator()(const fleet_message& message)
   {
@@ -230,6 +234,7 @@
   BOOST_LEAF_ASSIGN(result.stamp, read_member<std::int64_t>(head, "stamp"));
   BOOST_LEAF_ASSIGN(result.echo, read_member<std::int64_t>(head, "echo"));
   BOOST_LEAF_ASSIGN(result.lease_ms, read_member<std::int64_t>(head, "lease"));
+  BOOST_LEAF_ASSIGN(result.is_cut, read_member<bool>(head, "cut"));
   BOOST_LEAF_ASSIGN(result.below, parse_summary(head, "below"));
   return control_message(std::move(result));
 }
--- a/src/connection/control_message_type.h
+++ b/src/connection/control_message_type.h
@@ -120,6 +120,7 @@
   std::int64_t echo = 0;            ///< In an answer: the stamp that it answers.
   std::int64_t lease_ms = 0; ///< In an answer: how long after that stamp its sender may count
                              ///< itself in touch with the fleet; 0: not.
+  bool is_cut = false;       ///< In an answer: some region can\'t be reached.
   version_summary below;     ///< The sender and the nodes that report to it.
   bool operator==(const heartbeat_message&) const = default;
 };
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -72,6 +72,9 @@
   check_duties();
   keep_census();
   update_lease();
+  if (plan_.role == node_role::hub && is_joined_) {
+    note_cut(!cut_regions().empty());
+  }
   if (now_.mono >= next_heartbeat_) {
     next_heartbeat_ = now_.mono + options_.heartbeat_ms;
     members_.drop_old_tombstones(now_);
--- a/src/process/control_base.h
+++ b/src/process/control_base.h
@@ -163,6 +163,8 @@
   void replan();
   void join();
   void watch_seeds();
+  bool is_opened_by_peer(const node_id& id) const;
+  bool is_linked_twice(link_id id, const member_record& peer) const;
   std::set<node_id> unreachable_nodes() const;
   void open_to(const endpoint& to, const node_id& target, bool is_seed);
   void drop_link(link_id id, bool says_goodbye);
@@ -180,6 +182,7 @@
   void send_all_members(link_id id, peer_link& link);
   void update_parent();
   void update_fleet();
+  void note_cut(bool is_cut);
   version_summary summarise_below() const;
   std::optional<link_id> find_link(const node_id& peer) const;
   bool is_parent(link_id id) const { return parent_link_ == id; }
@@ -235,6 +238,9 @@
   mono_ms census_differs_since_ = 0;    ///< Since when the fleet differs from it; 0: it doesn't.
   version_summary fleet_;               ///< What the fleet has in force.
   version_summary sent_fleet_;          ///< As last sent down.
+  bool is_cut_ = false;                 ///< Some region can't be reached.
+  unix_ms cut_before_ = INT64_MAX;      ///< Surely before the latest cut began.
+  unix_ms healed_at_ = 0;               ///< When it ended.
   mono_ms lease_until_ = 0;             ///< In touch until then.
   server_card announced_;               ///< What the server said last.
   mono_ms server_lease_until_ = 0;      ///< The server's announcement holds until then.
--- a/src/process/control_links.cpp
+++ b/src/process/control_links.cpp
@@ -294,7 +294,7 @@
   }
   if (view_changed_) {
     view_changed_ = false;
-    add(apply_members{ members_.build_view() });
+    add(apply_members{ members_.build_view({ is_cut_, cut_before_, healed_at_ }) });
   }
 }
 
@@ -360,6 +360,7 @@
   heartbeat_message answer = make_heartbeat();
   answer.echo = message.stamp;
   answer.lease_ms = std::max<mono_ms>(0, lease_until_ - now_.mono);
+  answer.is_cut = is_cut_;
   send(id, std::move(answer));
 }
 
@@ -376,6 +377,9 @@
     lease_until_ = lease;
     add(apply_lease{ lease_until_ });
   }
+  if (is_parent(id)) {
+    note_cut(message.is_cut);
+  }
   const bool is_ahead = message.offset > ledger_.offset() && !is_halted_;
   link.ahead_heartbeats = is_ahead ? link.ahead_heartbeats + 1 : 0;
   if (link.ahead_heartbeats >= 2) {
@@ -573,6 +577,29 @@
   return nodes;
 }
 
+bool
+control::is_linked_twice(link_id id, const member_record& peer) const
+{
+  return peer.region > members_.own().region &&
+         std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
+           return item.first != id && !item.second.is_outgoing && item.second.peer &&
+                  item.second.peer->id == peer.id;
+         });
+}
+
+bool
+control::is_opened_by_peer(const node_id& id) const
+{
+  // Between two regions the hub of the later one opens the link, unless it doesn't know the other.
+  const std::string& region = members_.records().at(id).region;
+  const bool is_later = region > members_.own().region;
+  const bool has_time = now_.mono - duty_since_ < options_.gone_after_ms;
+  const bool has_link = std::any_of(links_.begin(), links_.end(), [&region](const auto& item) {
+    return item.second.peer && item.second.peer->region == region;
+  });
+  return is_later && (has_link || has_time);
+}
+
 void
 control::replan()
 {
@@ -594,7 +621,7 @@
     wanted.push_back(*plan_.parent);
   }
   for (const node_id& id : wanted) {
-    if (!find_link(id)) {
+    if (!find_link(id) && !is_opened_by_peer(id)) {
       open_to(members_.records().at(id).control, id, false);
     }
   }
@@ -603,7 +630,8 @@
     const node_id peer = link.peer ? link.peer->id : link.target;
     const bool is_wanted = std::find(wanted.begin(), wanted.end(), peer) != wanted.end();
     const bool is_used_up = link.peer && (!link.is_seed || link.has_all_members);
-    if (link.is_outgoing && !is_wanted && is_used_up) {
+    const bool is_double = link.peer && link.is_outgoing && is_linked_twice(id, *link.peer);
+    if (link.is_outgoing && (!is_wanted || is_double) && is_used_up) {
       unwanted.push_back(id);
     }
   }
@@ -644,6 +672,23 @@
   }
 }
 
+void
+control::note_cut(bool is_cut)
+{
+  if (is_cut == is_cut_) {
+    return;
+  }
+  is_cut_ = is_cut;
+  view_changed_ = true;
+  log(log_event::region_cut, { { "state", is_cut ? "cut" : "healed" } });
+  if (is_cut) {
+    // The cut began before it was noticed.
+    cut_before_ = now_.unix - options_.gone_after_ms;
+  } else {
+    healed_at_ = now_.unix;
+  }
+}
+
 std::set<std::string>
 control::cut_regions() const
 {
--- a/src/process/control_thread.cpp
+++ b/src/process/control_thread.cpp
@@ -32,6 +32,8 @@
 
 control_thread::~control_thread()
 {
+  // Calls to the log that are cut short now must raise nothing any more.
+  is_stopping_ = true;
   ticks_.stop();
   drain_checks_.stop();
   sockets_.clear();
@@ -115,6 +117,9 @@
 void
 control_thread::raise(const control_event& event)
 {
+  if (is_stopping_) {
+    return;
+  }
   for (const control_effect& effect : state_->handle(event, read_clocks())) {
     perform(effect);
   }
--- a/src/process/control_thread_base.h
+++ b/src/process/control_thread_base.h
@@ -66,6 +66,7 @@
   endpoint server_at_;        ///< Where the server is.
   QTimer ticks_;              ///< The control tick.
   QTimer drain_checks_;       ///< Looks whether all is done.
+  bool is_stopping_ = false;  ///< Nothing is raised any more.
   mono_ms leaving_since_ = 0; ///< When leaving began.
 };
 
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -29,6 +29,7 @@
   link_closed,      ///< A control link to a peer closed.
   role_changed,     ///< The node's duties in the distribution tree changed.
   member_changed,   ///< A member record changed.
+  region_cut,       ///< The regions lost each other, or found each other again.
   pause_detected,   ///< The control thread was not run for some time.
   server_announced, ///< The backend server beside the node changed its state.
   publish,          ///< An operator's publish was answered.
@@ -47,7 +48,7 @@
   lines_dropped,    ///< Log lines were dropped because the log thread was behind.
 };
 
-inline constexpr enum_table<log_event, 34> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 35> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -66,6 +67,7 @@
   { log_event::link_closed, "link_closed" },
   { log_event::role_changed, "role_changed" },
   { log_event::member_changed, "member_changed" },
+  { log_event::region_cut, "region_cut" },
   { log_event::pause_detected, "pause_detected" },
   { log_event::server_announced, "server_announced" },
   { log_event::publish, "publish" },
--- a/src/process/member_type.h
+++ b/src/process/member_type.h
@@ -103,6 +103,10 @@
 {
   std::map<node_id, member_record> members;       ///< All records, tombstones included.
   std::map<service_id, service_members> services; ///< Servers that may be asked, by service.
+  unix_ms eligible_before = INT64_MAX; ///< While a region is cut off: servers that are live since
+                                       ///< then or later are no homes of keys, as it may not know.
+  unix_ms cut_before = INT64_MAX;      ///< eligible_before of the latest cut, also after its end.
+  unix_ms healed_at = 0;               ///< End of the latest cut.
 };
 
 using member_view_ptr = std::shared_ptr<const member_view>;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -42,17 +42,19 @@
 membership::store(const member_record& record, instant now)
 {
   const auto held = records_.find(record.id);
-  const bool was_live = held != records_.end() && has_live_server(held->second) &&
-                        held->second.incarnation == record.incarnation &&
-                        held->second.server.service == record.server.service;
+  const bool was_live = held != records_.end() && has_live_server(held->second);
+  const bool is_same_process = held != records_.end() &&
+                               held->second.incarnation == record.incarnation &&
+                               held->second.server.service == record.server.service;
+  if (was_live && !(is_same_process && has_live_server(record))) {
+    left_at_[held->second.server.service][record.id] = now.unix;
+    live_since_.erase(record.id);
+  }
   if (has_live_server(record)) {
-    if (!was_live) {
-      live_since_[record.id] = now.unix;
-    }
-    left_at_.erase(record.id);
+    live_since_.try_emplace(record.id, now.unix);
+    left_at_[record.server.service].erase(record.id);
   } else if (!record.server.service.empty()) {
-    left_at_.try_emplace(record.id, now.unix);
-    live_since_.erase(record.id);
+    left_at_[record.server.service].try_emplace(record.id, now.unix);
   }
   if (is_tombstone(record)) {
     gone_since_[record.id] = now.unix;
@@ -140,7 +142,9 @@
   for (auto it = gone_since_.begin(); it != gone_since_.end();) {
     if (now.unix - it->second > TOMBSTONE_KEPT_MS) {
       records_.erase(it->first);
-      left_at_.erase(it->first);
+      for (auto& [service, nodes] : left_at_) {
+        nodes.erase(it->first);
+      }
       it = gone_since_.erase(it);
     } else {
       ++it;
@@ -170,20 +174,23 @@
 }
 
 member_view_ptr
-membership::build_view() const
+membership::build_view(const cut_state& cut) const
 {
   auto view = std::make_shared<member_view>();
+  view->eligible_before = cut.is_cut ? cut.cut_before : INT64_MAX;
+  view->cut_before = cut.cut_before;
+  view->healed_at = cut.healed_at;
   view->members = records_;
   for (const auto& [id, record] : view->members) {
-    if (record.server.service.empty()) {
-      continue;
-    }
-    service_members& members = view->services[record.server.service];
     if (has_live_server(record)) {
+      service_members& members = view->services[record.server.service];
       members.servers.push_back(&record);
       members.live_since[id] = live_since_.at(id);
-    } else {
-      members.left_at[id] = left_at_.at(id);
+    }
+  }
+  for (const auto& [service, nodes] : left_at_) {
+    if (!nodes.empty()) {
+      view->services[service].left_at = nodes;
     }
   }
   return view;
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -19,6 +19,14 @@
 bool
 is_tombstone(const member_record& record);
 
+/** What a node knows of regions that lose each other. */
+struct cut_state
+{
+  bool is_cut = false;            ///< Some region can't be reached.
+  unix_ms cut_before = INT64_MAX; ///< Surely before the latest cut began.
+  unix_ms healed_at = 0;          ///< When it ended.
+};
+
 /** The records of one node. Absence of a record never deletes one. */
 class membership
 {
@@ -91,8 +99,12 @@
   /** @return A digest over all records that doesn't depend on their order. */
   std::uint64_t digest() const;
 
-  /** @return The immutable picture for the traffic threads. */
-  member_view_ptr build_view() const;
+  /**
+   * Builds the immutable picture for the traffic threads.
+   * @param cut Whether some region is cut off.
+   * @return The picture.
+   */
+  member_view_ptr build_view(const cut_state& cut = {}) const;
 
 private:
   /** Stores a record and notes when the servers of a service changed. */
@@ -102,7 +114,7 @@
   std::map<node_id, member_record> records_; ///< All records.
   std::map<node_id, unix_ms> gone_since_;    ///< When each tombstone was stored.
   std::map<node_id, unix_ms> live_since_;    ///< When each live server was first seen so.
-  std::map<node_id, unix_ms> left_at_;       ///< When each former server was seen to stop.
+  std::map<service_id, std::map<node_id, unix_ms>> left_at_; ///< When former servers stopped.
 };
 
 } // namespace shallotfield
--- a/src/process/role_policy.cpp
+++ b/src/process/role_policy.cpp
@@ -41,13 +41,13 @@
     return { node_role::relay, hub->id, {} };
   }
   role_plan plan{ node_role::hub, std::nullopt, {} };
-  std::set<std::string> earlier_regions;
+  std::set<std::string> regions;
   for (const auto& [id, record] : members) {
-    if (record.region < own.region && !is_tombstone(record)) {
-      earlier_regions.insert(record.region);
+    if (record.region != own.region && !is_tombstone(record)) {
+      regions.insert(record.region);
     }
   }
-  for (const std::string& region : earlier_regions) {
+  for (const std::string& region : regions) {
     if (const member_record* leader = find_leader(members, region, "", unreachable)) {
       plan.hubs.push_back(leader->id);
     }
--- a/src/process/server_thread.cpp
+++ b/src/process/server_thread.cpp
@@ -32,6 +32,7 @@
 
 server_thread::server_thread(const settings& options)
   : options_(options)
+  , started_(read_clocks().unix)
   , admission_({ options.queue_limit, options.bulk_slots_percent })
   , keys_(options.key_window_ms)
 {
@@ -338,7 +339,8 @@
 void
 server_thread::take_key_query(session_id id, const key_query& query)
 {
-  const key_claim claim = keys_.query(query.key, read_clocks().mono);
+  const key_claim claim =
+    may_promise(query.key, started_) ? keys_.query(query.key, read_clocks().mono) : key_claim::seen;
   write_log(log_event::key_decision,
             { { "key", query.key }, { "verdict", "queried" }, { "claim", enum_name(claim) } });
   sessions_.at(id).socket->send(encode_traffic(key_reply{ query.id, claim }));
--- a/src/process/server_thread_base.h
+++ b/src/process/server_thread_base.h
@@ -119,6 +119,7 @@
   std::string fingerprint(const call_open& request) const;
 
   settings options_;                            ///< Settings.
+  unix_ms started_;                             ///< Start of the process.
   std::uint16_t port_ = 0;                      ///< The traffic port.
   endpoint server_at_;                          ///< Where the server is.
   service_id service_;                          ///< What the server runs.
--- a/src/request/key_policy.cpp
+++ b/src/request/key_policy.cpp
@@ -47,6 +47,22 @@
   return usable;
 }
 
+std::vector<const member_record*>
+eligible_servers(const member_view& view,
+                 const service_id& service,
+                 const std::vector<node_id>& blocked)
+{
+  const auto members = view.services.find(service);
+  if (members == view.services.end()) {
+    return {};
+  }
+  std::vector<const member_record*> servers = without_blocked(members->second.servers, blocked);
+  std::erase_if(servers, [&](const member_record* server) {
+    return members->second.live_since.at(server->id) >= view.eligible_before;
+  });
+  return servers;
+}
+
 const member_record*
 find_home(const std::string& key, const std::vector<const member_record*>& servers)
 {
@@ -62,6 +78,13 @@
   return home;
 }
 
+bool
+may_promise(const std::string& key, unix_ms started)
+{
+  const std::optional<unix_ms> made_at = key_time(key);
+  return made_at && *made_at > started + CLOCK_SKEW_MAX_MS;
+}
+
 /** What a former or lower-ranked server means for a key. */
 enum class former_state
 {
@@ -110,17 +133,19 @@
   if (members == view.services.end() || !members->second.live_since.contains(self)) {
     return key_denied{ refusal::key_moved };
   }
-  const std::vector<const member_record*> usable =
-    without_blocked(members->second.servers, blocked);
-  if (usable.size() != members->second.servers.size() && is_blocked(blocked, self)) {
+  if (is_blocked(blocked, self)) {
     return key_denied{ refusal::blocked };
   }
-  if (find_home(key, usable)->id != self) {
+  const member_record* home = find_home(key, eligible_servers(view, service, blocked));
+  if (home == nullptr || home->id != self) {
     return key_denied{ refusal::key_moved };
   }
-  const unix_ms own_since = members->second.live_since.at(self);
+  unix_ms own_since = members->second.live_since.at(self);
+  if (own_since >= view.cut_before) {
+    own_since = std::max(own_since, view.healed_at); // The other region learned of it only then.
+  }
   const auto process_start = static_cast<unix_ms>(view.members.at(self).incarnation);
-  if (*made_at <= process_start + CLOCK_SKEW_MAX_MS) {
+  if (!may_promise(key, process_start)) {
     return key_denied{ refusal::key_unresolved };
   }
   const bool is_new = *made_at <= own_since + limits.settle_ms;
@@ -141,7 +166,7 @@
     }
   }
   for (const member_record* server : members->second.servers) {
-    const bool ranks_higher = key_rank(key, server->id) > own_rank; // It is blocked, then.
+    const bool ranks_higher = key_rank(key, server->id) > own_rank; // It is not eligible, then.
     if (server->id != self && (is_new || ranks_higher)) {
       consult.former.push_back(server->id);
     }
--- a/src/request/key_policy.h
+++ b/src/request/key_policy.h
@@ -38,6 +38,19 @@
 bool
 is_blocked(const std::vector<node_id>& blocked, const node_id& node);
 
+/**
+ * Leaves out servers that are no homes of keys: blocked ones, and while a region is cut off, those
+ * that it may not know of.
+ * @param view The members.
+ * @param service The service.
+ * @param blocked The version's blocked servers, in order.
+ * @return The servers among which the home is.
+ */
+std::vector<const member_record*>
+eligible_servers(const member_view& view,
+                 const service_id& service,
+                 const std::vector<node_id>& blocked);
+
 /**
  * Leaves out blocked servers.
  * @param servers The live servers of a service.
@@ -57,6 +70,16 @@
 const member_record*
 find_home(const std::string& key, const std::vector<const member_record*>& servers);
 
+/**
+ * Tells whether a process can promise that it did not run a key: it can't for keys from before it
+ * started, which an earlier process of its node may have run.
+ * @param key The key.
+ * @param started When the process started, Unix ms.
+ * @return Whether it can.
+ */
+bool
+may_promise(const std::string& key, unix_ms started);
+
 /** The key can run here as far as the members tell. */
 struct key_allowed
 {
--- a/src/request/pick_policy.cpp
+++ b/src/request/pick_policy.cpp
@@ -218,7 +218,8 @@
   candidates usable = without_blocked(members->second.servers, version.content.blocked_servers);
   if (!request.key.empty()) {
     // Servers that this request was at count too: the home must not depend on who asks.
-    const member_record* home = find_home(request.key, usable);
+    const member_record* home = find_home(
+      request.key, eligible_servers(view, request.service, version.content.blocked_servers));
     return home == nullptr ? std::nullopt
                            : std::optional(pick_decision{ home, pick_reason::key_home });
   }
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -133,6 +133,7 @@
       };
       used.client->on_failed = [this, index](client_failure why) {
         slots_[index].outcome = std::string(enum_name(why));
+        slots_[index].status = 0;
         end(index, false);
       };
       used.client->on_idle_end = [this, index] { retire(index); };
--- a/tests/connection/codec_test.cpp
+++ b/tests/connection/codec_test.cpp
@@ -27,7 +27,7 @@
            entries_message{ { { 5, std::string("\x00\xff", 2), "chain" }, { 6, "", "c" } } },
            whole_message{ "snapshot" },
            members_message{ { record, record }, true, false },
-           heartbeat_message{ 9, 10, 11, 12, 13, summary },
+           heartbeat_message{ 9, 10, 11, 12, 13, true, summary },
            fleet_message{ summary },
            goodbye_message{},
            census_message{ { 3, { { "west", { "west-a-1" } } } } } };
--- a/tests/node/control_random_test.cpp
+++ b/tests/node/control_random_test.cpp
@@ -14,6 +14,14 @@
     : random_(seed)
   {
     add_two_regions(fleet, 2);
+    // Snapshots come well before the retention below takes the records that they cover.
+    for (auto& [id, node] : fleet.nodes) {
+      node.options.snapshot_records = 5;
+      fleet.kill(id);
+    }
+    for (const auto& [id, node] : fleet.nodes) {
+      fleet.start(id);
+    }
     fleet.run(6000);
   }
 
@@ -105,7 +113,7 @@
                       document_with("s" + std::to_string(publishes++)));
       }
       if (world.draw(10) == 0) {
-        fleet.log.keep(log_stream::config, 20 + world.draw(20));
+        fleet.log.keep(log_stream::config, 40 + world.draw(20));
       }
       fleet.run(100 + static_cast<mono_ms>(world.draw(20)) * 100);
       for (const auto& [name, node] : fleet.nodes) {
@@ -268,8 +276,7 @@
         const fake_node& asked = world.fleet.nodes.at(former);
         const bool answers =
           asked.state && !asked.is_frozen && !world.fleet.is_cut(item.home, former);
-        may_run =
-          may_run && answers && books_.at(former).query(item.key, now.mono) == key_claim::barred;
+        may_run = may_run && answers && ask(former, item.key) == key_claim::barred;
       }
     }
     if (!may_run) {
@@ -283,6 +290,13 @@
     later.push_back(std::move(item));
   }
 
+  key_claim ask(const node_id& former, const std::string& key)
+  {
+    const auto started = static_cast<unix_ms>(world.fleet.nodes.at(former).record.incarnation);
+    return may_promise(key, started) ? books_.at(former).query(key, world.fleet.now.mono)
+                                     : key_claim::seen;
+  }
+
   void run(const arrival& item)
   {
     key_book& book = books_.at(item.home);
--- a/tests/node/control_test.cpp
+++ b/tests/node/control_test.cpp
@@ -3,6 +3,9 @@
 #include "fakes/fake_fleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 
 using namespace shallotfield;
 
@@ -131,6 +134,55 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(control_sessions)
+
+BOOST_AUTO_TEST_CASE(a_race_an_outage_and_a_recovery_are_as_in_the_golden_file)
+{
+  const auto fleet = make_fleet();
+  std::string transcript;
+  std::size_t seen = 0;
+  const auto note = [&](const std::string& title) {
+    transcript += title + "\n";
+    const auto& lines = fleet->nodes.at("west-a-0").lines;
+    for (; seen < lines.size(); ++seen) {
+      transcript += "  " + lines[seen] + "\n";
+    }
+  };
+  note("four nodes meet");
+  publish_and_wait(*fleet, "west-a-0", 1);
+  note("version 1 is published");
+  fleet->publish("west-a-0", "one", document_with("one"), 1);
+  fleet->publish("east-a-0", "two", document_with("two"), 1);
+  fleet->run(2000);
+  note("two operators race");
+  fleet->log.is_down = true;
+  fleet->run(1000);
+  fleet->publish("west-a-0", "three", document_with("three"));
+  fleet->run(3000);
+  note("the log is down and an operator publishes");
+  fleet->log.is_down = false;
+  fleet->run(6000);
+  fleet->publish("west-a-0", "four", document_with("four"));
+  fleet->run(1000);
+  note("the log is back and an operator publishes");
+  fleet->kill("west-b-0");
+  fleet->run(10'000);
+  note("a node dies");
+  fleet->start("west-b-0");
+  fleet->run(3000);
+  note("the node is back");
+  const std::string path = std::string(TEST_DATA) + "/control.golden";
+  if (std::getenv("REGENERATE") != nullptr) {
+    std::ofstream(path) << transcript;
+  }
+  std::ifstream file(path);
+  std::ostringstream golden;
+  golden << file.rdbuf();
+  BOOST_TEST(transcript == golden.str());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(recovery)
 
 BOOST_AUTO_TEST_CASE(a_cold_start_of_all_nodes_needs_only_the_log)
--- a/tests/request/call_test.cpp
+++ b/tests/request/call_test.cpp
@@ -1,1 +1,285 @@
+// Tests of the course of a request at its caller's edge: tables of faults, and a golden session.
+#include "fakes/expect.h"
+#include "request/request.h"
 
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace shallotfield;
+
+/** One edge with three servers, and the open requests. */
+class edge_bench
+{
+public:
+  edge_bench()
+  {
+    const auto source = nlohmann::json::parse(R"({
+      "services": { "catalogue": { "timeout_ms": 1000, "retry_percent": 100, "hedge_after_ms": 100 },
+                    "ordering": { "timeout_ms": 2000, "retry_percent": 100 } },
+      "routes": { "lookup": { "path_prefix": "/catalogue", "targets": [ { "service": "catalogue" } ] },
+                  "order": { "path_prefix": "/orders", "targets": [ { "service": "ordering" } ] } } })");
+    version_ =
+      compile_version(7, "digest", source, *value_of([&] { return parse_document(source); }));
+    membership members(make_node("a", "none"), { 0, 0 });
+    for (const char* id : { "b", "c", "d" }) {
+      members.merge(make_node(id, "catalogue"), { 0, 0 });
+    }
+    for (const char* id : { "o", "p" }) {
+      members.merge(make_node(id, "ordering"), { 0, 0 });
+    }
+    edge_.self = "a";
+    edge_.view = members.build_view();
+    edge_.random.seed(1);
+    edge_.window_bytes = 1000;
+  }
+
+  mono_ms now = 1000;     ///< The clock.
+  std::string transcript; ///< Effects and log lines, as text.
+
+  /** Starts a request. @return Its number. */
+  std::size_t start(const std::string& method,
+                    const std::string& path,
+                    const std::vector<http_header>& headers = {})
+  {
+    call_state call;
+    call.id = "r" + std::to_string(calls_.size());
+    call.head = { method, path, headers };
+    call.version = version_;
+    calls_.push_back(std::move(call));
+    raise(calls_.size() - 1, call_started{});
+    return calls_.size() - 1;
+  }
+
+  /** Raises an event of a request. */
+  void raise(std::size_t call, const call_event& event)
+  {
+    for (const call_effect& effect : handle_call_event(calls_[call], event, edge_, now)) {
+      note(effect);
+    }
+  }
+
+  /** Ends an attempt without an answer. */
+  void refuse(std::size_t call, attempt_index attempt, refusal reason, outcome result)
+  {
+    raise(call, attempt_refused{ attempt, reason, result, {}, false });
+  }
+
+  /** Answers an attempt whole. */
+  void answer(std::size_t call, attempt_index attempt, const std::string& body)
+  {
+    raise(call, attempt_head{ attempt, { 200, {} }, { 1, 0, 2 } });
+    raise(call, attempt_data{ attempt, body });
+    raise(call, attempt_end{ attempt, body.size(), { 0, 0, 2 } });
+  }
+
+  /** @return What was noted since the last call, without log lines. */
+  std::string take_effects() { return std::exchange(effects_, {}); }
+
+private:
+  static member_record make_node(const node_id& id, const service_id& service)
+  {
+    member_record record;
+    record.id = id;
+    record.state = member_state::alive;
+    record.region = "west";
+    record.zone = "west-a";
+    record.server = { service, 2, server_state::ready };
+    return record;
+  }
+
+  void note(const call_effect& effect)
+  {
+    std::string text;
+    std::visit(
+      overloaded{
+        [&](const open_attempt& item) { text = "open:" + item.node; },
+        [&](const cancel_attempt& item) { text = "cancel:" + std::to_string(item.attempt); },
+        [&](const grant_credit& item) { text = "credit:" + std::to_string(item.bytes); },
+        [&](const send_head& item) { text = "head:" + std::to_string(item.head.status); },
+        [&](const send_data& item) { text = "data:" + item.bytes; },
+        [&](const finish_answer&) { text = "finish"; },
+        [&](const refuse_caller& item) {
+          text = "refuse:" + std::string(enum_name(item.reason)) + ":" +
+                 std::string(enum_name(item.result));
+        },
+        [&](const break_caller&) { text = "break"; },
+        [&](const start_timer& item) { text = "timer:" + std::to_string(item.delay_ms); },
+        [&](const log_line& item) {
+          transcript += "  " + format_log_line(item.event, item.fields) + "\n";
+        },
+        [&](const call_done&) { text = "done"; },
+      },
+      effect);
+    if (!text.empty()) {
+      transcript += "  -> " + text + "\n";
+      effects_ += text + " ";
+    }
+  }
+
+  compiled_version_ptr version_;
+  edge_state edge_;
+  std::vector<call_state> calls_;
+  std::string effects_;
+};
+
+BOOST_AUTO_TEST_SUITE(calls)
+
+BOOST_AUTO_TEST_CASE(ends_of_a_first_attempt)
+{
+  struct row
+  {
+    std::string method;
+    std::string path;
+    refusal reason;
+    outcome result;
+    std::string expected; ///< `again`, or the refusal.
+  };
+  const std::vector<row> rows = {
+    { "GET", "/catalogue", refusal::unreachable, outcome::not_run, "again" },
+    { "GET", "/catalogue", refusal::link_lost, outcome::unknown, "again" },
+    { "GET", "/catalogue", refusal::server_lost, outcome::unknown, "again" },
+    { "GET", "/catalogue", refusal::queue_full, outcome::not_run, "again" },
+    { "POST", "/orders", refusal::unreachable, outcome::not_run, "again" },
+    { "POST", "/orders", refusal::shed, outcome::not_run, "again" },
+    { "POST", "/orders", refusal::draining, outcome::not_run, "again" },
+    { "POST", "/orders", refusal::link_lost, outcome::unknown, "refuse:link_lost:unknown" },
+    { "POST", "/orders", refusal::server_lost, outcome::unknown, "refuse:server_lost:unknown" },
+    { "POST", "/orders", refusal::answer_cut, outcome::unknown, "refuse:answer_cut:unknown" },
+    { "POST",
+      "/orders",
+      refusal::key_unresolved,
+      outcome::unknown,
+      "refuse:key_unresolved:unknown" },
+    { "POST", "/orders", refusal::key_reused, outcome::not_run, "refuse:key_reused:not-run" },
+  };
+  for (const row& item : rows) {
+    edge_bench bench;
+    const std::size_t call = bench.start(item.method, item.path);
+    bench.take_effects();
+    bench.refuse(call, 0, item.reason, item.result);
+    const std::string effects = bench.take_effects();
+    BOOST_TEST_CONTEXT(item.path << " " << enum_name(item.reason))
+    {
+      const bool was_again = effects.starts_with("open:");
+      BOOST_TEST(was_again == (item.expected == "again"));
+      BOOST_TEST((was_again || effects.starts_with(item.expected)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_after_an_unknown_attempt_stays_unknown)
+{
+  edge_bench bench;
+  const std::size_t call = bench.start("GET", "/catalogue");
+  bench.refuse(call, 0, refusal::link_lost, outcome::unknown);
+  bench.refuse(call, 1, refusal::queue_full, outcome::not_run);
+  bench.take_effects();
+  bench.refuse(call, 2, refusal::queue_full, outcome::not_run);
+  BOOST_TEST(bench.take_effects().starts_with("refuse:queue_full:unknown"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_early_is_never_a_short_success)
+{
+  edge_bench bench;
+  const std::size_t call = bench.start("GET", "/catalogue");
+  bench.raise(call, attempt_head{ 0, { 200, {} }, {} });
+  bench.raise(call, attempt_data{ 0, "abc" });
+  bench.take_effects();
+  bench.raise(call, attempt_end{ 0, 4, {} });
+  BOOST_TEST(bench.take_effects() == "break done ");
+}
+
+BOOST_AUTO_TEST_CASE(late_and_crossed_answers_reach_nobody)
+{
+  edge_bench bench;
+  const std::size_t call = bench.start("GET", "/catalogue");
+  bench.raise(call, hedge_due{});
+  bench.take_effects();
+  bench.raise(call, attempt_head{ 1, { 200, {} }, {} });
+  BOOST_TEST(bench.take_effects() == "cancel:0 head:200 ");
+  bench.raise(call, attempt_head{ 0, { 201, {} }, {} });
+  bench.raise(call, attempt_data{ 0, "other" });
+  bench.raise(call, attempt_end{ 0, 5, {} });
+  BOOST_TEST(bench.take_effects().empty());
+  bench.raise(call, attempt_data{ 1, "own" });
+  bench.raise(call, attempt_end{ 1, 3, {} });
+  BOOST_TEST(bench.take_effects() == "data:own finish done ");
+  bench.answer(call, 0, "late");
+  bench.raise(call, deadline_passed{});
+  BOOST_TEST(bench.take_effects().empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_deadline_says_unknown_once_the_request_left)
+{
+  edge_bench bench;
+  const std::size_t call = bench.start("POST", "/orders");
+  bench.take_effects();
+  bench.now += 2000;
+  bench.raise(call, deadline_passed{});
+  BOOST_TEST(bench.take_effects() == "cancel:0 refuse:timed_out:unknown done ");
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_goes_away_cancels)
+{
+  edge_bench bench;
+  const std::size_t call = bench.start("GET", "/catalogue");
+  bench.take_effects();
+  bench.raise(call, caller_gone{});
+  BOOST_TEST(bench.take_effects() == "cancel:0 done ");
+}
+
+BOOST_AUTO_TEST_CASE(orders_are_never_hedged)
+{
+  edge_bench bench;
+  bench.start("POST", "/orders");
+  BOOST_TEST(bench.take_effects().find("timer:100 ") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_session_is_as_in_the_golden_file)
+{
+  edge_bench bench;
+  const auto title = [&](const std::string& text) { bench.transcript += text + "\n"; };
+  title("a lookup is answered");
+  bench.answer(bench.start("GET", "/catalogue/1"), 0, "puzzle");
+  title("a lookup whose server is lost is tried elsewhere");
+  std::size_t call = bench.start("GET", "/catalogue/2");
+  bench.refuse(call, 0, refusal::server_lost, outcome::unknown);
+  bench.answer(call, 1, "puzzle");
+  title("a slow lookup is hedged and the loser cancelled");
+  call = bench.start("GET", "/catalogue/3");
+  bench.now += 100;
+  bench.raise(call, hedge_due{});
+  bench.answer(call, 1, "puzzle");
+  title("an order whose server is lost is not tried again");
+  call = bench.start("POST", "/orders");
+  bench.refuse(call, 0, refusal::server_lost, outcome::unknown);
+  title("an order that was refused as not run is tried again");
+  call = bench.start("POST", "/orders");
+  bench.refuse(call, 0, refusal::draining, outcome::not_run);
+  bench.answer(call, 1, "order");
+  title("an order with a key goes to the key's home");
+  call = bench.start(
+    "POST", "/orders", { { "Idempotency-Key", "018bcfe5-6800-7000-8000-000000000001" } });
+  bench.answer(call, 0, "order");
+  title("a key that is no time-ordered UUID is refused");
+  bench.start("POST", "/orders", { { "Idempotency-Key", "order 17\nevent=publish" } });
+  title("no route");
+  bench.start("GET", "/nowhere");
+  title("a deadline passes");
+  call = bench.start("GET", "/catalogue/4", { { "Shallotfield-Timeout-Ms", "50" } });
+  bench.now += 50;
+  bench.raise(call, deadline_passed{});
+
+  const std::string path = std::string(TEST_DATA) + "/calls.golden";
+  if (std::getenv("REGENERATE") != nullptr) {
+    std::ofstream(path) << bench.transcript;
+  }
+  std::ifstream file(path);
+  std::ostringstream golden;
+  golden << file.rdbuf();
+  BOOST_TEST(bench.transcript == golden.str());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
