Answer operators at once, and take a returned lease for a return from the dead

Causes, each seen failing and then passing: - The library's HTTP server ends the process when an answer is written after its caller has gone (a publish given up during a slow log killed the node; a node that left killed the log stand-in). Ruled out: our own use after the end, since the trace lies in the library.

--- a/src/command/operator_cmd.cpp
+++ b/src/command/operator_cmd.cpp
@@ -6,6 +6,7 @@
 #include <QDateTime>
 #include <QEventLoop>
 #include <QTimer>
+#include <QUrl>
 #include <QUuid>
 #include <boost/leaf/handle_errors.hpp>
 #include <fstream>
@@ -23,6 +24,18 @@
 /** Publishes that ended without knowing the outcome are repeated with the same id this often. */
 static constexpr int PUBLISH_TRIES = 3;
 
+/** Pause between two looks at a publish that has no verdict yet. */
+static constexpr int PUBLISH_POLL_MS = 50;
+
+/** Lets time pass in the event loop. */
+static void
+pause(int ms)
+{
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
 /** An option that is missing or wrong. */
 struct option_error
 {
@@ -97,13 +110,24 @@
   });
 }
 
+/** Encodes a text as one segment of a path. */
+static std::string
+percent_encode(const std::string& text)
+{
+  return QUrl::toPercentEncoding(QString::fromStdString(text)).toStdString();
+}
+
 /** Sends a publish, again with the same id while its outcome is not known. */
 static leaf::result<json>
-publish_until_known(const operator_target& target, const json& body)
+publish_until_known(const operator_target& target, const json& body, const std::string& id)
 {
   json answer = { { "result", "unknown" } };
   for (int i = 0; i < PUBLISH_TRIES && answer.value("result", "") == "unknown"; ++i) {
     BOOST_LEAF_ASSIGN(answer, post_json(target, "/v1/publish", body));
+    while (answer.value("result", "") == "pending") {
+      pause(PUBLISH_POLL_MS);
+      BOOST_LEAF_ASSIGN(answer, get_json(target, "/v1/publish/" + percent_encode(id)));
+    }
   }
   return answer;
 }
@@ -142,7 +166,7 @@
     if (options.base_version) {
       body["base_version"] = *options.base_version;
     }
-    BOOST_LEAF_AUTO(answer, publish_until_known(target, body));
+    BOOST_LEAF_AUTO(answer, publish_until_known(target, body, id));
     const std::string result = answer.value("result", "");
     std::cout << "result=" << result << " version=" << answer.value("version", 0)
               << " publish_id=" << id;
@@ -201,9 +225,7 @@
       if (!options.watches) {
         return exit_code::ok;
       }
-      QEventLoop pause;
-      QTimer::singleShot(WATCH_INTERVAL_MS, &pause, &QEventLoop::quit);
-      pause.exec();
+      pause(WATCH_INTERVAL_MS);
     }
   });
 }
--- a/src/process/control_base.h
+++ b/src/process/control_base.h
@@ -195,8 +195,10 @@
   void adopt_census(const census& found, std::optional<link_id> source);
   census count_fleet() const;
   void update_lease();
+  void extend_lease(mono_ms until);
   bool is_forgotten(const node_id& id) const;
   std::uint64_t count_known(const std::set<std::string>& regions) const;
+  std::uint64_t count_present(const std::vector<node_id>& ids) const;
   bool is_most_of_census(const std::set<std::string>& regions) const;
   bool is_first_region() const;
 
--- a/src/process/control_census.cpp
+++ b/src/process/control_census.cpp
@@ -138,24 +138,49 @@
   return known;
 }
 
+std::uint64_t
+control::count_present(const std::vector<node_id>& ids) const
+{
+  return static_cast<std::uint64_t>(
+    std::count_if(ids.begin(), ids.end(), [this](const node_id& id) {
+      const auto record = members_.records().find(id);
+      return record != members_.records().end() && !is_tombstone(record->second);
+    }));
+}
+
 bool
 control::is_most_of_census(const std::set<std::string>& regions) const
 {
   std::uint64_t total = 0;
   std::uint64_t present = 0;
   for (const auto& [region, ids] : census_->nodes) {
-    if (!regions.contains(region)) {
-      continue;
-    }
-    for (const node_id& id : ids) {
-      const auto record = members_.records().find(id);
-      ++total;
-      present += record != members_.records().end() && !is_tombstone(record->second) ? 1 : 0;
+    const std::uint64_t known = count_present(ids);
+    if (regions.contains(region)) {
+      total += ids.size();
+      present += known;
+    } else if (2 * known < ids.size()) {
+      return false; // This node hasn't heard of a region that is out of reach: keys may run there.
     }
   }
   return 2 * present > total;
 }
 
+void
+control::extend_lease(mono_ms until)
+{
+  if (until <= lease_until_) {
+    return;
+  }
+  if (lease_until_ < now_.mono) {
+    // Others may have taken this node for gone and run its keys.
+    members_.note_own_return(now_);
+    view_changed_ = true;
+    send_members();
+  }
+  lease_until_ = until;
+  add(apply_lease{ lease_until_ });
+}
+
 void
 control::update_lease()
 {
@@ -191,9 +216,8 @@
     since = at;
   }
   const mono_ms until = since + options_.gone_after_ms / LEASE_SHARE;
-  if (2 * in_touch > known && until > lease_until_) {
-    lease_until_ = until;
-    add(apply_lease{ lease_until_ });
+  if (2 * in_touch > known) {
+    extend_lease(until);
   }
 }
 
--- a/src/process/control_config.cpp
+++ b/src/process/control_config.cpp
@@ -179,14 +179,17 @@
 void
 control::write_snapshots()
 {
-  const bool is_duty = is_joined_ && plan_.role == node_role::hub && is_first_region();
+  // The hubs of other regions write half as often, for when the first can't reach the log.
+  const std::int64_t factor = is_first_region() ? 1 : 2;
+  const std::int64_t interval_ms = options_.snapshot_interval_ms * factor;
+  const bool is_duty = is_joined_ && plan_.role == node_role::hub;
   if (is_duty && !snapshots_.is_duty) {
-    snapshots_.due_at = now_.mono + options_.snapshot_interval_ms / 2;
+    snapshots_.due_at = now_.mono + interval_ms / 2;
   }
   snapshots_.is_duty = is_duty;
-  const bool is_due =
-    now_.mono >= snapshots_.due_at ||
-    ledger_.offset() >= snapshots_.offset + static_cast<std::uint64_t>(options_.snapshot_records);
+  const bool is_due = now_.mono >= snapshots_.due_at ||
+                      ledger_.offset() >= snapshots_.offset + static_cast<std::uint64_t>(
+                                                                options_.snapshot_records * factor);
   if (!is_duty || !is_due || snapshots_.is_writing || !log_.is_reachable || ledger_.offset() == 0) {
     return;
   }
@@ -203,7 +206,7 @@
 {
   snapshots_.is_writing = false;
   if (std::holds_alternative<log_appended>(answer)) {
-    snapshots_.due_at = now_.mono + options_.snapshot_interval_ms;
+    snapshots_.due_at = now_.mono + options_.snapshot_interval_ms * (is_first_region() ? 1 : 2);
     count(counter_id::snapshots_written);
     log(log_event::snapshot_written,
         { { "offset", snapshots_.offset }, { "version", ledger_.current()->number } });
--- a/src/process/control_links.cpp
+++ b/src/process/control_links.cpp
@@ -373,9 +373,8 @@
   }
   link.below = message.below;
   const mono_ms lease = message.echo + message.lease_ms;
-  if (is_parent(id) && message.lease_ms > 0 && lease > lease_until_) {
-    lease_until_ = lease;
-    add(apply_lease{ lease_until_ });
+  if (is_parent(id) && message.lease_ms > 0) {
+    extend_lease(lease);
   }
   if (is_parent(id)) {
     note_cut(message.is_cut);
--- a/src/process/operators_port.cpp
+++ b/src/process/operators_port.cpp
@@ -13,6 +13,9 @@
 /** Longest publish id or author. */
 static constexpr std::size_t TEXT_BYTES_MAX = 200;
 
+/** Publishes whose end is kept for their operators. */
+static constexpr std::size_t ENDED_PUBLISHES_KEPT = 256;
+
 /** Most slots of a server. */
 static constexpr std::uint64_t SLOTS_MAX = 100'000;
 
@@ -234,6 +237,11 @@
                   }
                   send_json(responder, { { "judgements", std::move(list) } }, status_code::Ok);
                 });
+  server_.route("/v1/publish/<arg>",
+                QHttpServerRequest::Method::Get,
+                [this](const QString& publish_id, QHttpServerResponder&& responder) {
+                  show_publish(publish_id, std::move(responder));
+                });
   server_.route("/v1/members",
                 QHttpServerRequest::Method::Get,
                 [this](const QHttpServerRequest&, QHttpServerResponder&& responder) {
@@ -282,8 +290,11 @@
     [&]() -> leaf::result<void> {
       BOOST_LEAF_AUTO(event, parse_publish(body_of(body)));
       event.publish = next_publish_++;
-      responders_.emplace(event.publish, std::move(responder));
+      const std::string id = event.publish_id;
+      publishes_[event.publish] = id;
+      ended_.erase(id);
       on_publish(std::move(event));
+      show_publish(QString::fromStdString(id), std::move(responder));
       return {};
     },
     [&](const operator_error& error) { send_error(responder, error); },
@@ -295,10 +306,32 @@
 void
 operators_port::answer(const answer_publish& answer)
 {
-  const auto found = responders_.find(answer.publish);
-  if (found != responders_.end()) {
-    send_json(found->second, publish_to_json(answer), status_code::Ok);
-    responders_.erase(found);
+  const auto found = publishes_.find(answer.publish);
+  if (found == publishes_.end()) {
+    return;
+  }
+  if (ended_.insert_or_assign(found->second, publish_to_json(answer)).second) {
+    ended_order_.push_back(found->second);
+  }
+  publishes_.erase(found);
+  if (ended_order_.size() > ENDED_PUBLISHES_KEPT) {
+    ended_.erase(ended_order_.front());
+    ended_order_.pop_front();
+  }
+}
+
+void
+operators_port::show_publish(const QString& publish_id, QHttpServerResponder&& responder)
+{
+  const auto ended = ended_.find(publish_id.toStdString());
+  const bool is_under_way =
+    std::any_of(publishes_.begin(), publishes_.end(), [&publish_id](const auto& item) {
+      return item.second == publish_id.toStdString();
+    });
+  if (ended != ended_.end()) {
+    send_json(responder, ended->second, status_code::Ok);
+  } else {
+    send_json(responder, { { "result", is_under_way ? "pending" : "unknown" } }, status_code::Ok);
   }
 }
 
--- a/src/process/operators_port_base.h
+++ b/src/process/operators_port_base.h
@@ -5,6 +5,7 @@
 
 #include <QHttpServer>
 #include <QHttpServerResponder>
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -77,7 +78,11 @@
 nlohmann::json
 publish_to_json(const answer_publish& answer);
 
-/** Listens for operators. Lives on the control thread. */
+/**
+ * Listens for operators. Lives on the control thread. Each call is answered at once: an answer that
+ * the library's server is to send later ends the process if the caller has gone meanwhile, so
+ * operators ask again for the outcome of a publish.
+ */
 class operators_port
 {
 public:
@@ -91,7 +96,7 @@
   /** Opens the port. @return Its number; 0 if it can't be opened. */
   std::uint16_t listen();
 
-  /** Answers a publish. @param answer How it ended. */
+  /** Keeps how a publish ended, for its operator to ask for. @param answer How it ended. */
   void answer(const answer_publish& answer);
 
 private:
@@ -100,13 +105,16 @@
   void add_reading_routes();
   void add_changing_routes();
   void take_publish(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+  void show_publish(const QString& publish_id, QHttpServerResponder&& responder);
   void take_server(const QHttpServerRequest& request, QHttpServerResponder&& responder);
 
-  const settings& options_;                                   ///< Settings.
-  const control& state_;                                      ///< The control state.
-  QHttpServer server_;                                        ///< The library's server.
-  std::map<publish_ticket, QHttpServerResponder> responders_; ///< Operators that wait.
-  publish_ticket next_publish_ = 1;                           ///< Number of the next publish.
+  const settings& options_;                         ///< Settings.
+  const control& state_;                            ///< The control state.
+  QHttpServer server_;                              ///< The library's server.
+  std::map<publish_ticket, std::string> publishes_; ///< Ids of publishes under way.
+  std::map<std::string, nlohmann::json> ended_;     ///< How publishes ended, by id.
+  std::deque<std::string> ended_order_;             ///< Their ids, oldest first.
+  publish_ticket next_publish_ = 1;                 ///< Number of the next publish.
 };
 
 } // namespace shallotfield
--- /dev/null
+++ b/standins/http_port.h
@@ -0,0 +1,59 @@
+// An HTTP port for stand-ins that may answer later, also when the caller has gone meanwhile.
+#pragma once
+#include "connection/connection.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace shallotfield {
+
+/** Accepts connections and hands on their requests, each under the number of its connection. */
+class http_port : public QTcpServer
+{
+public:
+  using connection_id = std::uint64_t; ///< Number of a connection.
+
+  std::function<void(connection_id, whole_request&&)> on_request; ///< A request arrived.
+
+  /**
+   * Answers the open request of a connection, unless it has gone.
+   * @param id The connection.
+   * @param status Status.
+   * @param body Body.
+   */
+  void answer(connection_id id, unsigned status, const std::string& body)
+  {
+    const auto found = sessions_.find(id);
+    if (found != sessions_.end()) {
+      found->second->answer(status, { { "Content-Type", "application/json" } }, body);
+    }
+  }
+
+protected:
+  void incomingConnection(qintptr descriptor) override
+  {
+    static constexpr std::uint64_t BODY_LIMIT = 64U << 20U;
+    const connection_id id = next_++;
+    auto session = std::make_unique<http_session>(descriptor, BODY_LIMIT);
+    session->on_request = [this, id](whole_request&& request) {
+      on_request(id, std::move(request));
+    };
+    session->on_gone = [this, id] {
+      // The session is calling right now, so it is deleted from the event loop.
+      std::shared_ptr<http_session> gone = std::move(sessions_.at(id));
+      sessions_.erase(id);
+      QMetaObject::invokeMethod(
+        this, [gone] {}, Qt::QueuedConnection);
+    };
+    sessions_[id] = std::move(session);
+  }
+
+private:
+  std::map<connection_id, std::unique_ptr<http_session>> sessions_; ///< Open connections.
+  connection_id next_ = 1;                                          ///< Next number.
+};
+
+} // namespace shallotfield
