--- a/bench/convergence.cpp
+++ b/bench/convergence.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int CHANGES = 40;
-constexpr mono_ms REST_MS = 20'000;
+constexpr double REST_S = 20;
 constexpr mono_ms POLL_MS = 1000;
 
 /** Bytes of the head of a poll and of its answer; bodies are counted as they are. */
@@ -83,13 +83,12 @@
   fleet.counts_bytes = true;
   figures result;
   const auto cpu = std::clock();
-  fleet.run(REST_MS);
-  result.cpu_us =
-    1e6 * static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC / nodes / (REST_MS / 1000);
-  result.bytes_at_rest = static_cast<double>(fleet.bytes) / nodes / (REST_MS / 1000);
+  fleet.run(static_cast<mono_ms>(REST_S * 1000));
+  result.cpu_us = 1e6 * static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC / nodes / REST_S;
+  result.bytes_at_rest = static_cast<double>(fleet.bytes) / nodes / REST_S;
   // The hub of the other region holds one read open for log_wait_ms at a time.
   const double log_at_rest = (POLL_HEAD_BYTES + 40) / 10.0;
-  result.link_at_rest = static_cast<double>(fleet.region_bytes) / (REST_MS / 1000) + log_at_rest;
+  result.link_at_rest = static_cast<double>(fleet.region_bytes) / REST_S + log_at_rest;
   fleet.step_ms = 1;
   const std::uint64_t reads_before = fleet.full_reads;
   for (int change = 1; change <= CHANGES; ++change) {
@@ -123,6 +122,7 @@
 {
   random_source random(1);
   std::vector<mono_ms> phase;
+  phase.reserve(static_cast<std::size_t>(nodes));
   for (int i = 0; i < nodes; ++i) {
     phase.push_back(static_cast<mono_ms>(random() % POLL_MS));
   }
