Drop enumerators that nothing uses, and say why a caller's request can't be read

Six enumerators (log events, refusals, an operator fault) were left from plans. Requests that are malformed or too large are answered with the fault in Shallotfield-Reason.

--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -67,7 +67,10 @@
   }
   is_busy_ = true;
   keep_alive_ = false;
-  answer(status, { { "Shallotfield-Outcome", "not-run" } }, "");
+  answer(status,
+         { { "Shallotfield-Outcome", "not-run" },
+           { "Shallotfield-Reason", std::string(enum_name(fault)) } },
+         "");
 }
 
 void
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -86,17 +86,14 @@
   key_unresolved, ///< Nobody can show that the key has not run.
   key_limit,      ///< No room to remember another key.
   stale,          ///< The node was paused or cut off and has not caught up.
-  quarantined,    ///< The request is suspected of crashing servers.
   link_lost,      ///< The link to the node broke with the request under way.
   server_lost,    ///< The server broke the connection with the request under way.
   answer_cut,     ///< The answer ended early.
   timed_out,      ///< The deadline passed with the request under way.
   cancelled,      ///< The caller went away.
-  bad_request,    ///< The request can't be read.
-  too_large,      ///< The request is too large.
 };
 
-inline constexpr enum_table<refusal, 23> REFUSAL_ROWS = { {
+inline constexpr enum_table<refusal, 20> REFUSAL_ROWS = { {
   { refusal::no_route, "no_route" },
   { refusal::no_server, "no_server" },
   { refusal::unreachable, "unreachable" },
@@ -112,16 +109,13 @@
   { refusal::key_unresolved, "key_unresolved" },
   { refusal::key_limit, "key_limit" },
   { refusal::stale, "stale" },
-  { refusal::quarantined, "quarantined" },
   { refusal::link_lost, "link_lost" },
   { refusal::server_lost, "server_lost" },
   { refusal::answer_cut, "answer_cut" },
   { refusal::timed_out, "timed_out" },
   { refusal::cancelled, "cancelled" },
-  { refusal::bad_request, "bad_request" },
-  { refusal::too_large, "too_large" },
 } };
-static_assert(is_complete(REFUSAL_ROWS, refusal::too_large));
+static_assert(is_complete(REFUSAL_ROWS, refusal::cancelled));
 
 /** @return The name table of refusals. */
 constexpr const auto&
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -40,15 +40,13 @@
   hedge,            ///< The decision to send a second copy of an idempotent request.
   key_decision,     ///< The at-most-once decision for a request key.
   ejection,         ///< A backend server is left out, or taken back, by a caller's edge.
-  quarantine,       ///< A request is suspected of crashing servers, refused for it, or cleared.
   request_done,     ///< The outcome of a request.
   input_refused,    ///< Malformed or oversized input from the wire.
   alarm,            ///< Something that an operator has to look at.
   draining,         ///< The node or its backend server stops taking new work.
-  lines_dropped,    ///< Log lines were dropped because the log thread was behind.
 };
 
-inline constexpr enum_table<log_event, 35> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 33> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -78,14 +76,12 @@
   { log_event::hedge, "hedge" },
   { log_event::key_decision, "key_decision" },
   { log_event::ejection, "ejection" },
-  { log_event::quarantine, "quarantine" },
   { log_event::request_done, "request_done" },
   { log_event::input_refused, "input_refused" },
   { log_event::alarm, "alarm" },
   { log_event::draining, "draining" },
-  { log_event::lines_dropped, "lines_dropped" },
 } };
-static_assert(is_complete(LOG_EVENT_ROWS, log_event::lines_dropped));
+static_assert(is_complete(LOG_EVENT_ROWS, log_event::draining));
 
 /** @return The name table of log events. */
 constexpr const auto&
--- a/src/process/operators_port_base.h
+++ b/src/process/operators_port_base.h
@@ -18,17 +18,15 @@
   not_json,      ///< The body is no JSON.
   missing_field, ///< A field is absent or has the wrong type.
   bad_value,     ///< A value is out of range or none of the valid ones.
-  too_large,     ///< The body is above the limit.
 };
 
-inline constexpr enum_table<operator_fault, 5> OPERATOR_FAULT_ROWS = { {
+inline constexpr enum_table<operator_fault, 4> OPERATOR_FAULT_ROWS = { {
   { operator_fault::no_token, "no_token" },
   { operator_fault::not_json, "not_json" },
   { operator_fault::missing_field, "missing_field" },
   { operator_fault::bad_value, "bad_value" },
-  { operator_fault::too_large, "too_large" },
 } };
-static_assert(is_complete(OPERATOR_FAULT_ROWS, operator_fault::too_large));
+static_assert(is_complete(OPERATOR_FAULT_ROWS, operator_fault::bad_value));
 
 /** @return The name table of faults on the operators' port. */
 constexpr const auto&
--- a/src/request/table/refusal_table.h
+++ b/src/request/table/refusal_table.h
@@ -31,14 +31,11 @@
   { refusal::key_unresolved, outcome::unknown, 409, false, 0 },
   { refusal::key_limit,      outcome::not_run, 503, false, 1 },
   { refusal::stale,          outcome::not_run, 503, true,  1 },
-  { refusal::quarantined,    outcome::not_run, 422, false, 0 },
   { refusal::link_lost,      outcome::unknown, 502, true,  0 },
   { refusal::server_lost,    outcome::unknown, 502, true,  0 },
   { refusal::answer_cut,     outcome::unknown, 502, true,  0 },
   { refusal::timed_out,      outcome::unknown, 504, false, 0 },
   { refusal::cancelled,      outcome::unknown, 499, false, 0 },
-  { refusal::bad_request,    outcome::not_run, 400, false, 0 },
-  { refusal::too_large,      outcome::not_run, 413, false, 0 },
 } };
 // clang-format on
 
