--- a/src/process/log_func.h
+++ b/src/process/log_func.h
@@ -20,8 +20,8 @@
 
 /**
  * Starts logging to standard output through a thread of its own with a bounded queue. Lines that
- * find the queue full are dropped, and the library logs how many, so that logging never holds up
- * traffic.
+ * find the queue full are dropped, so that logging never holds up traffic; the library logs how
+ * many.
  */
 void
 start_logging();
--- a/tests/node/control_test.cpp
+++ b/tests/node/control_test.cpp
@@ -298,6 +298,21 @@
   BOOST_TEST(fleet->run_until(10'000, [&] { return fleet->all_have(4); }));
 }
 
+BOOST_AUTO_TEST_CASE(a_pause_shorter_than_a_lease_ends_the_lease)
+{
+  const auto fleet = make_fleet();
+  fake_node& node = fleet->nodes.at("east-b-0");
+  fleet->run(500);
+  node.is_frozen = true;
+  fleet->run(1500);
+  BOOST_REQUIRE(node.lease_until > fleet->now.mono);
+  node.is_frozen = false;
+  fleet->run(10);
+  BOOST_TEST(node.lease_until <= fleet->now.mono);
+  fleet->run(3000);
+  BOOST_TEST(node.lease_until > fleet->now.mono);
+}
+
 BOOST_AUTO_TEST_CASE(a_record_in_a_newer_format_stops_reading_with_an_alarm)
 {
   const auto fleet = make_fleet();
