--- a/src/command/command.h
+++ b/src/command/command.h
@@ -12,6 +12,7 @@
 enum class command
 {
   node,    ///< Runs a node.
+  proxy,   ///< Runs a proxy on the platform.
   publish, ///< Publishes a document.
   check,   ///< Checks a document without a node.
   status,  ///< Shows what is in force.
@@ -20,8 +21,9 @@
   drain,   ///< Tells a node to leave.
 };
 
-inline constexpr enum_table<command, 7> COMMAND_ROWS = { {
+inline constexpr enum_table<command, 8> COMMAND_ROWS = { {
   { command::node, "node" },
+  { command::proxy, "proxy" },
   { command::publish, "publish" },
   { command::check, "check" },
   { command::status, "status" },
@@ -56,6 +58,10 @@
 exit_code
 run_node(const command_options& options);
 
+/** Runs a proxy until it is told to leave. @param options Options. @return The exit code. */
+exit_code
+run_proxy(const command_options& options);
+
 /** Publishes a document. @param options Options. @return The exit code. */
 exit_code
 run_publish(const command_options& options);
--- /dev/null
+++ b/src/command/proxy_cmd.cpp
@@ -0,0 +1,90 @@
+// The command that runs a proxy.
+#include "command.h"
+#include "platform/platform.h"
+#include "process/node.h"
+#include "signals.h"
+
+#include <QCoreApplication>
+#include <boost/leaf/handle_errors.hpp>
+#include <iostream>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Reads the settings with their bounds. */
+static leaf::result<std::pair<proxy_settings, platform::fleet_bounds>>
+load_settings(const std::string& path)
+{
+  BOOST_LEAF_AUTO(options, read_proxy_settings(path));
+  const std::optional<platform::fleet_bounds> bounds = platform::parse_bounds(options.bounds);
+  if (!bounds) {
+    return leaf::new_error(setting_error{ "bounds", setting_fault::bad_value });
+  }
+  return std::pair{ std::move(options), *bounds };
+}
+
+/** Reads the settings again. Addresses stay as they are until the next start. */
+static void
+reload(proxy_node& node, const std::string& path)
+{
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(loaded, load_settings(path));
+      node.set_bounds(loaded.second);
+      write_log(log_event::started, { { "what", "reload" }, { "result", "taken" } });
+      return {};
+    },
+    [](const setting_error& error) {
+      write_log(log_event::setting_refused,
+                { { "key", error.key }, { "fault", enum_name(error.fault) } });
+    },
+    [] {
+      write_log(log_event::setting_refused, { { "key", "" } });
+    });
+}
+
+/** Runs the event loop until the proxy has left. */
+static leaf::result<exit_code>
+serve(const std::string& path)
+{
+  BOOST_LEAF_AUTO(loaded, load_settings(path));
+  start_logging();
+  proxy_node node(std::move(loaded.first), loaded.second);
+  node.on_stopped = [] { QCoreApplication::exit(static_cast<int>(exit_code::ok)); };
+  BOOST_LEAF_CHECK(node.start());
+  const signal_watch signals([&node, &path](watched_signal which) {
+    switch (which) {
+      case watched_signal::terminate:
+        node.leave();
+        break;
+      case watched_signal::reload:
+        reload(node, path);
+        break;
+    }
+  });
+  return static_cast<exit_code>(QCoreApplication::exec());
+}
+
+exit_code
+run_proxy(const command_options& options)
+{
+  if (!install_signals()) {
+    return exit_code::internal;
+  }
+  const std::string path =
+    options.settings_path.empty() ? platform::settings_path().value_or("") : options.settings_path;
+  const exit_code code = leaf::try_handle_all(
+    [&] { return serve(path); },
+    [](const setting_error& error) {
+      const std::vector<log_field> fields = { { "key", error.key },
+                                              { "fault", enum_name(error.fault) } };
+      std::cerr << format_log_line(log_event::setting_refused, fields) << '\n';
+      return exit_code::settings;
+    },
+    [] { return exit_code::internal; });
+  stop_logging();
+  return code;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/command/signals.cpp
@@ -0,0 +1,50 @@
+// Signals as events of the main thread's event loop.
+#include "signals.h"
+
+#include <csignal>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace shallotfield {
+
+/** Socket pair that carries signals into the event loop. */
+static int signal_sockets[2];
+
+/** Passes a signal on; only what is allowed in a signal handler. */
+static void
+pass_signal(int number)
+{
+  const char byte = number == SIGHUP ? 'h' : 't';
+  const ssize_t written = write(signal_sockets[0], &byte, sizeof byte);
+  static_cast<void>(written);
+}
+
+bool
+install_signals()
+{
+  if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, signal_sockets) != 0) {
+    return false;
+  }
+  struct sigaction action = {};
+  action.sa_handler = pass_signal;
+  sigemptyset(&action.sa_mask);
+  action.sa_flags = SA_RESTART;
+  struct sigaction ignore = {};
+  ignore.sa_handler = SIG_IGN;
+  return sigaction(SIGTERM, &action, nullptr) == 0 && sigaction(SIGINT, &action, nullptr) == 0 &&
+         sigaction(SIGHUP, &action, nullptr) == 0 && sigaction(SIGPIPE, &ignore, nullptr) == 0;
+}
+
+signal_watch::signal_watch(std::function<void(watched_signal)> handler)
+  : handler_(std::move(handler))
+  , notifier_(signal_sockets[1], QSocketNotifier::Read)
+{
+  QObject::connect(&notifier_, &QSocketNotifier::activated, &notifier_, [this] {
+    char byte = 0;
+    if (read(signal_sockets[1], &byte, sizeof byte) == sizeof byte) {
+      handler_(byte == 'h' ? watched_signal::reload : watched_signal::terminate);
+    }
+  });
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/beacon_codec.h
@@ -0,0 +1,31 @@
+// Beacons as datagrams, and a node's address as it stands in the directory.
+#pragma once
+#include "process/process.h"
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+
+namespace shallotfield {
+
+/** Largest beacon that is sent or accepted; it fits into one packet of any link. */
+inline constexpr std::size_t BEACON_BYTES_MAX = 1200;
+
+/** @param beacon A beacon. @return The datagram, msgpack. */
+std::string
+encode_beacon(const node_beacon& beacon);
+
+/** @param bytes A datagram from a peer. @return The beacon; or frame_error. */
+boost::leaf::result<node_beacon>
+parse_beacon(std::string_view bytes);
+
+/** @param self A node. @return What the directory holds of it. */
+std::string
+encode_address(const node_beacon& self);
+
+/** @param id Name of a node. @param bytes What the directory holds of it. @return A beacon with
+ * nothing but its address; or frame_error. */
+boost::leaf::result<node_beacon>
+parse_address(const node_id& id, std::string_view bytes);
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/byte_stream.cpp
@@ -0,0 +1,239 @@
+// A TCP connection on a traffic thread, through Boost.Asio.
+#include "byte_stream_base.h"
+
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <netinet/tcp.h>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace shallotfield {
+
+/** Unacknowledged bytes break a connection after this time: a VM without power doesn't answer. */
+static constexpr int USER_TIMEOUT_MS = 3000;
+
+/** Seconds of silence before keep-alive probes, and between them. */
+static constexpr int KEEPALIVE_S = 2;
+
+/** Probes without an answer that break a connection. */
+static constexpr int KEEPALIVE_PROBES = 3;
+
+/** Bytes read at once; the buffer is shared by all connections of a thread. */
+static constexpr std::size_t READ_BYTES = 64U << 10U;
+
+/** Bytes read from one connection before others get their turn. */
+static constexpr std::size_t READ_TURN_BYTES = 256U << 10U;
+
+/** Sent bytes are dropped from the buffer's front once there are so many. */
+static constexpr std::size_t COMPACT_BYTES = 64U << 10U;
+
+byte_stream::byte_stream(asio::io_context& context)
+  : socket_(context)
+{
+}
+
+void
+byte_stream::set_options()
+{
+  boost::system::error_code ignored; // An option that can't be set leaves a slower detection.
+  socket_.non_blocking(true, ignored);
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+  using asio::detail::socket_option::integer;
+  socket_.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(USER_TIMEOUT_MS), ignored);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(KEEPALIVE_S), ignored);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(KEEPALIVE_S), ignored);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(KEEPALIVE_PROBES), ignored);
+}
+
+void
+byte_stream::accept(tcp::socket&& socket)
+{
+  socket_ = std::move(socket);
+  is_open_ = true;
+  set_options();
+  wait_readable();
+}
+
+void
+byte_stream::connect(const endpoint& to, std::int64_t timeout_ms)
+{
+  const tcp::endpoint address(asio::ip::make_address(to.host), to.port);
+  connect_timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+  connect_timer_->expires_after(std::chrono::milliseconds(timeout_ms));
+  connect_timer_->async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error && !self->is_open_) {
+      self->end(stream_end::not_connected);
+    }
+  });
+  socket_.async_connect(address,
+                        [self = shared_from_this()](const boost::system::error_code& error) {
+                          if (self->has_ended_) {
+                            return;
+                          }
+                          self->connect_timer_.reset();
+                          if (error) {
+                            self->end(stream_end::not_connected);
+                            return;
+                          }
+                          self->is_open_ = true;
+                          self->set_options();
+                          if (self->on_open) {
+                            self->on_open();
+                          }
+                          self->wait_readable();
+                          self->write();
+                        });
+}
+
+void
+byte_stream::wait_readable()
+{
+  if (has_ended_ || is_paused_ || is_waiting_readable_ || !is_open_) {
+    return;
+  }
+  is_waiting_readable_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& error) {
+                       self->is_waiting_readable_ = false;
+                       if (error) {
+                         self->end(stream_end::broken);
+                       } else {
+                         self->read();
+                       }
+                     });
+}
+
+void
+byte_stream::read()
+{
+  static thread_local std::array<char, READ_BYTES> buffer;
+  std::size_t total = 0;
+  while (!has_ended_ && !is_paused_ && total < READ_TURN_BYTES) {
+    boost::system::error_code error;
+    const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+      break;
+    }
+    if (error) {
+      end(error == asio::error::eof ? stream_end::closed : stream_end::broken);
+      return;
+    }
+    total += count;
+    if (on_bytes && !is_finishing_) {
+      on_bytes({ buffer.data(), count });
+    }
+    if (count < buffer.size()) {
+      break;
+    }
+  }
+  wait_readable();
+}
+
+void
+byte_stream::pause(bool is_paused)
+{
+  is_paused_ = is_paused;
+  wait_readable();
+}
+
+void
+byte_stream::send(std::string_view bytes)
+{
+  if (has_ended_ || is_finishing_) {
+    return;
+  }
+  const bool was_idle = unsent_bytes() == 0;
+  unsent_.append(bytes);
+  if (is_open_ && was_idle) {
+    write();
+  }
+}
+
+void
+byte_stream::write()
+{
+  while (!has_ended_ && sent_ < unsent_.size()) {
+    boost::system::error_code error;
+    sent_ +=
+      socket_.write_some(asio::buffer(unsent_.data() + sent_, unsent_.size() - sent_), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+      if (sent_ >= COMPACT_BYTES) {
+        unsent_.erase(0, sent_);
+        sent_ = 0;
+      }
+      if (!is_waiting_writable_) {
+        is_waiting_writable_ = true;
+        socket_.async_wait(tcp::socket::wait_write,
+                           [self = shared_from_this()](const boost::system::error_code& failed) {
+                             self->is_waiting_writable_ = false;
+                             if (failed) {
+                               self->end(stream_end::broken);
+                             } else {
+                               self->write();
+                             }
+                           });
+      }
+      return;
+    }
+    if (error) {
+      // From the event loop, so that an end is never told before send() returns.
+      asio::post(socket_.get_executor(),
+                 [self = shared_from_this()] { self->end(stream_end::broken); });
+      return;
+    }
+  }
+  unsent_.clear();
+  sent_ = 0;
+  if (unsent_.capacity() > COMPACT_BYTES) {
+    unsent_.shrink_to_fit();
+  }
+  if (is_finishing_ && !has_ended_) {
+    boost::system::error_code ignored; // A connection that broke meanwhile is over all the same.
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+  if (on_drained && !has_ended_) {
+    on_drained();
+  }
+}
+
+void
+byte_stream::finish()
+{
+  if (has_ended_ || is_finishing_) {
+    return;
+  }
+  is_finishing_ = true;
+  if (!is_open_) {
+    end(stream_end::not_connected);
+    return;
+  }
+  if (unsent_bytes() == 0) {
+    write();
+  }
+}
+
+void
+byte_stream::abort()
+{
+  is_silent_ = true;
+  end(stream_end::broken);
+}
+
+void
+byte_stream::end(stream_end why)
+{
+  if (has_ended_) {
+    return;
+  }
+  has_ended_ = true;
+  connect_timer_.reset();
+  boost::system::error_code ignored; // Whatever the close says, the connection is over.
+  socket_.close(ignored);
+  if (on_end && !is_silent_) {
+    on_end(why);
+  }
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/caller_stream.cpp
@@ -0,0 +1,180 @@
+// A caller's HTTP connection on a traffic thread.
+#include "caller_stream_base.h"
+
+namespace shallotfield {
+
+/** Requests of one connection that may be open; further ones are not read until one is done. */
+static constexpr std::size_t PIPELINED_MAX = 32;
+
+/** Bytes of answers that a slow caller may leave unread before its further requests wait. */
+static constexpr std::size_t UNREAD_BYTES_MAX = 1U << 20U;
+
+static constexpr unsigned STATUS_BAD_REQUEST = 400;
+static constexpr unsigned STATUS_REQUEST_TIMEOUT = 408;
+static constexpr unsigned STATUS_TOO_LARGE = 413;
+static constexpr unsigned STATUS_HEAD_TOO_LARGE = 431;
+
+caller_stream::caller_stream(boost::asio::io_context& context, caller_stream_limits limits)
+  : stream_(std::make_shared<byte_stream>(context))
+  , reader_(limits.body_bytes_max, limits.head_bytes_max)
+{
+}
+
+void
+caller_stream::accept(boost::asio::ip::tcp::socket&& socket)
+{
+  const std::weak_ptr<caller_stream> weak = weak_from_this();
+  stream_->on_bytes = [weak](std::string_view bytes) {
+    if (const caller_stream_ptr self = weak.lock()) {
+      self->take_bytes(bytes);
+    }
+  };
+  stream_->on_end = [weak](stream_end) {
+    const caller_stream_ptr self = weak.lock();
+    if (self && self->on_gone) {
+      self->on_gone();
+    }
+  };
+  stream_->on_drained = [weak] {
+    const caller_stream_ptr self = weak.lock();
+    if (self && self->is_stopped_ && self->open_.size() < PIPELINED_MAX) {
+      self->is_stopped_ = false;
+      self->stream_->pause(false);
+      self->read_requests({});
+    }
+  };
+  stream_->accept(std::move(socket));
+}
+
+void
+caller_stream::take_bytes(std::string_view bytes)
+{
+  if (is_closing_) {
+    return;
+  }
+  read_requests(bytes);
+  if (on_input) {
+    on_input();
+  }
+}
+
+void
+caller_stream::read_requests(std::string_view bytes)
+{
+  const caller_stream_ptr self = shared_from_this();
+  while (!is_closing_) {
+    std::optional<http_fault> fault;
+    std::optional<whole_request> request = reader_.feed(bytes, fault);
+    bytes = {};
+    if (fault) {
+      const unsigned status = *fault == http_fault::body_too_large   ? STATUS_TOO_LARGE
+                              : *fault == http_fault::head_too_large ? STATUS_HEAD_TOO_LARGE
+                                                                     : STATUS_BAD_REQUEST;
+      refuse(status, enum_name(*fault));
+      return;
+    }
+    if (!request) {
+      return;
+    }
+    const request_number number = next_++;
+    open_.push_back({ number, request->keep_alive, request->head.method == "HEAD", {} });
+    is_closing_ = !request->keep_alive;
+    on_request(number, std::move(*request));
+    if (open_.size() >= PIPELINED_MAX || stream_->unsent_bytes() > UNREAD_BYTES_MAX) {
+      is_stopped_ = true;
+      stream_->pause(true);
+      return;
+    }
+  }
+}
+
+void
+caller_stream::refuse(unsigned status, std::string_view fault)
+{
+  write_log(log_event::input_refused,
+            { { "edge", "callers" }, { "fault", fault }, { "status", status } });
+  count(counter_id::inputs_refused);
+  is_closing_ = true;
+  const request_number number = next_++;
+  open_.push_back({ number, false, false, {} });
+  answer(number, { status, {} }, "");
+}
+
+void
+caller_stream::refuse_slow_head()
+{
+  refuse(STATUS_REQUEST_TIMEOUT, "slow_head");
+}
+
+void
+caller_stream::answer(request_number number, const response_head& head, std::string_view body)
+{
+  const auto found = std::find_if(
+    open_.begin(), open_.end(), [number](const auto& item) { return item.number == number; });
+  if (found == open_.end()) {
+    return;
+  }
+  const bool is_last = is_closing_ && number + 1 == next_;
+  found->keep_alive = found->keep_alive && !is_last;
+  response_head whole = head;
+  std::erase_if(whole.headers,
+                [](const http_header& header) { return header.name == "Content-Length"; });
+  if (found->is_head) {
+    whole.headers = head.headers;
+  } else if (may_have_body(whole.status)) {
+    whole.headers.push_back({ "Content-Length", std::to_string(body.size()) });
+  }
+  found->answer = format_response_head(whole, found->keep_alive);
+  if (!found->is_head) {
+    found->answer->append(body);
+  }
+  write_ready();
+}
+
+void
+caller_stream::write_ready()
+{
+  const caller_stream_ptr self = shared_from_this();
+  std::string bytes;
+  bool closes = false;
+  while (!open_.empty() && open_.front().answer && !closes) {
+    closes = !open_.front().keep_alive;
+    if (bytes.empty()) {
+      bytes = std::move(*open_.front().answer);
+    } else {
+      bytes += *open_.front().answer;
+    }
+    open_.pop_front();
+  }
+  if (!bytes.empty()) {
+    stream_->send(bytes);
+  }
+  if (closes || (is_closing_ && open_.empty())) {
+    stream_->finish();
+  }
+  if (on_input) {
+    on_input();
+  }
+  if (is_stopped_ && open_.size() < PIPELINED_MAX && stream_->unsent_bytes() <= UNREAD_BYTES_MAX) {
+    is_stopped_ = false;
+    stream_->pause(false);
+    read_requests({});
+  }
+}
+
+void
+caller_stream::close_when_idle()
+{
+  is_closing_ = true;
+  if (open_.empty()) {
+    stream_->finish();
+  }
+}
+
+void
+caller_stream::abort()
+{
+  stream_->abort();
+}
+
+} // namespace shallotfield
--- a/src/connection/connection.h
+++ b/src/connection/connection.h
@@ -1,5 +1,9 @@
 // What lives as long as one connection: frames, messages, HTTP, sockets.
 #pragma once
+#include "beacon_codec.h"          // IWYU pragma: export
+#include "byte_stream_base.h"      // IWYU pragma: export
+#include "caller_stream_base.h"    // IWYU pragma: export
+#include "config_transfer_codec.h" // IWYU pragma: export
 #include "control_message_codec.h" // IWYU pragma: export
 #include "control_message_type.h"  // IWYU pragma: export
 #include "frame_codec.h"           // IWYU pragma: export
@@ -8,5 +12,8 @@
 #include "http_codec.h"            // IWYU pragma: export
 #include "http_session_base.h"     // IWYU pragma: export
 #include "http_type.h"             // IWYU pragma: export
+#include "peer_stream_base.h"      // IWYU pragma: export
+#include "server_stream_base.h"    // IWYU pragma: export
+#include "timer_queue_base.h"      // IWYU pragma: export
 #include "traffic_message_codec.h" // IWYU pragma: export
 #include "traffic_message_type.h"  // IWYU pragma: export
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -143,8 +143,9 @@
   http::request_parser<piece_body> parser;
 };
 
-request_reader::request_reader(std::uint64_t body_limit)
+request_reader::request_reader(std::uint64_t body_limit, std::uint32_t head_limit)
   : body_limit_(body_limit)
+  , head_limit_(head_limit)
 {
   restart();
 }
@@ -157,7 +158,13 @@
   parser_ = std::make_unique<parser_state>();
   parser_->parser.eager(true);
   parser_->parser.body_limit(body_limit_);
-  parser_->parser.header_limit(HTTP_HEAD_BYTES_MAX);
+  parser_->parser.header_limit(head_limit_);
+}
+
+bool
+request_reader::has_begun() const
+{
+  return !buffered_.empty() || parser_->parser.got_some();
 }
 
 std::optional<whole_request>
--- a/src/connection/http_codec.h
+++ b/src/connection/http_codec.h
@@ -23,8 +23,8 @@
 class request_reader
 {
 public:
-  /** @param body_limit Largest body to accept, in bytes. */
-  explicit request_reader(std::uint64_t body_limit);
+  /** @param body_limit Largest body to accept, in bytes. @param head_limit Largest head. */
+  explicit request_reader(std::uint64_t body_limit, std::uint32_t head_limit = HTTP_HEAD_BYTES_MAX);
   ~request_reader();
   request_reader(const request_reader&) = delete;
   request_reader& operator=(const request_reader&) = delete;
@@ -37,12 +37,16 @@
    */
   std::optional<whole_request> feed(std::string_view bytes, std::optional<http_fault>& error);
 
+  /** @return Whether bytes of a request arrived that isn't complete. */
+  bool has_begun() const;
+
 private:
   struct parser_state;
   /** Starts to read the next request. */
   void restart();
 
   std::uint64_t body_limit_;             ///< Largest body to accept.
+  std::uint32_t head_limit_;             ///< Largest head to accept.
   std::string buffered_;                 ///< Bytes that the parser has not taken.
   std::unique_ptr<parser_state> parser_; ///< The library's parser.
 };
@@ -81,6 +85,9 @@
    */
   response_piece feed_end(std::optional<http_fault>& error);
 
+  /** @return Bytes that arrived after the end of the answer; they are taken out. */
+  std::string take_rest() { return std::move(buffered_); }
+
 private:
   struct parser_state;
   std::string buffered_;                 ///< Bytes that the parser has not taken.
--- /dev/null
+++ b/src/connection/peer_stream.cpp
@@ -0,0 +1,100 @@
+// A link between two proxies.
+#include "peer_stream_base.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+peer_stream::peer_stream(boost::asio::io_context& context, std::size_t frame_bytes_max)
+  : stream_(std::make_shared<byte_stream>(context))
+  , decoder_(frame_limits{ TRAFFIC_HEAD_BYTES_MAX, frame_bytes_max })
+{
+}
+
+void
+peer_stream::watch()
+{
+  const std::weak_ptr<peer_stream> weak = weak_from_this();
+  stream_->on_open = [weak] {
+    if (const peer_stream_ptr self = weak.lock()) {
+      self->heard_at_ = read_clocks().mono;
+    }
+  };
+  stream_->on_bytes = [weak](std::string_view bytes) {
+    if (const peer_stream_ptr self = weak.lock()) {
+      self->take_bytes(bytes);
+    }
+  };
+  stream_->on_end = [weak](stream_end why) {
+    const peer_stream_ptr self = weak.lock();
+    if (self && !self->has_ended_) {
+      self->has_ended_ = true;
+      self->on_end(why);
+    }
+  };
+}
+
+void
+peer_stream::accept(boost::asio::ip::tcp::socket&& socket)
+{
+  watch();
+  heard_at_ = read_clocks().mono;
+  stream_->accept(std::move(socket));
+}
+
+void
+peer_stream::connect(const endpoint& to, std::int64_t timeout_ms)
+{
+  watch();
+  stream_->connect(to, timeout_ms);
+}
+
+void
+peer_stream::abort()
+{
+  has_ended_ = true;
+  stream_->abort();
+}
+
+void
+peer_stream::take_bytes(std::string_view bytes)
+{
+  heard_at_ = read_clocks().mono;
+  std::vector<frame> frames;
+  std::optional<frame_error> error = decoder_.feed(bytes, frames);
+  for (frame& item : frames) {
+    if (has_ended_) {
+      return;
+    }
+    std::optional<traffic_message> message;
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(parsed, parse_traffic(std::move(item)));
+        message = std::move(parsed);
+        return {};
+      },
+      [&](const frame_error& refused) { error = refused; },
+      [&] { error = frame_error{ frame_fault::bad_message }; });
+    if (!message) {
+      break;
+    }
+    on_message(std::move(*message));
+  }
+  if (error && !has_ended_) {
+    refuse(*error);
+  }
+}
+
+void
+peer_stream::refuse(const frame_error& error)
+{
+  write_log(log_event::input_refused, { { "edge", "peers" }, { "fault", enum_name(error.fault) } });
+  count(counter_id::inputs_refused);
+  has_ended_ = true;
+  stream_->abort();
+  on_end(stream_end::broken);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/connection/server_stream_base.h
@@ -0,0 +1,59 @@
+// A connection to the backend server beside a proxy, on a traffic thread.
+#pragma once
+#include "byte_stream_base.h"
+#include "http_client_base.h"
+#include "http_codec.h"
+
+namespace shallotfield {
+
+/** A whole answer of a server. */
+struct server_answer
+{
+  response_head head; ///< Status and headers.
+  std::string body;   ///< Whole body.
+};
+
+/**
+ * Sends one request at a time and reads its whole answer. An answer to another request, as the
+ * owner tells it, is dropped, and the next one on the connection is read.
+ */
+class server_stream : public std::enable_shared_from_this<server_stream>
+{
+public:
+  std::function<bool(const response_head&)> is_foreign; ///< Whether an answer is another request's.
+  std::function<void(server_answer&&, bool)> on_answer; ///< The answer; whether to use it again.
+  std::function<void(client_failure)> on_failed;        ///< The request failed.
+  std::function<void()> on_idle_end;                    ///< The connection ended while idle.
+
+  /** @param context The thread's context. @param to The server. @param connect_timeout_ms Time for
+   * the connection to open. */
+  server_stream(boost::asio::io_context& context, endpoint to, std::int64_t connect_timeout_ms);
+
+  /** Sends a request. The connection must be idle. @param head Its head. @param body Its body. */
+  void send(const request_head& head, std::string_view body);
+
+  /** Breaks the connection; nothing is called any more. */
+  void abort();
+
+private:
+  void open();
+  void take_bytes(std::string_view bytes);
+  void take_piece(response_piece&& piece);
+  void take_end(stream_end why);
+  void finish_answer(bool keeps_connection);
+  void fail(client_failure why);
+
+  endpoint to_;                             ///< The server.
+  std::int64_t connect_timeout_ms_;         ///< Time for the connection to open.
+  byte_stream_ptr stream_;                  ///< The connection.
+  std::unique_ptr<response_reader> reader_; ///< Reads the answer under way.
+  server_answer answer_;                    ///< The answer so far.
+  bool is_head_request_ = false;            ///< The request is a HEAD.
+  bool has_begun_ = false;                  ///< Bytes of the answer arrived.
+  bool was_opened_ = false;                 ///< connect() was called.
+  bool has_ended_ = false;                  ///< Nothing more is called.
+};
+
+using server_stream_ptr = std::shared_ptr<server_stream>;
+
+} // namespace shallotfield
--- a/src/connection/traffic_message_codec.cpp
+++ b/src/connection/traffic_message_codec.cpp
@@ -81,7 +81,12 @@
              { "region", message.region },
              { "timeout", message.timeout_ms },
              { "version", message.version },
-             { "window", message.window_bytes } };
+             { "window", message.window_bytes },
+             { "instance", message.instance },
+             { "caller", message.caller_service },
+             { "work", message.work },
+             { "priority", message.priority },
+             { "objective", message.objective_ms } };
   }
   json operator()(const call_cancel& message) { return { { "id", message.id } }; }
   json operator()(const call_credit& message)
@@ -122,6 +127,16 @@
   {
     return { { "id", message.id }, { "claim", enum_name(message.claim) } };
   }
+  json operator()(const answer_whole& message)
+  {
+    payload = message.body;
+    return { { "id", message.id },
+             { "status", message.head.status },
+             { "headers", headers_to_json(message.head.headers) },
+             { "load", load_to_json(message.load) } };
+  }
+  json operator()(const link_ping& message) { return { { "id", message.id } }; }
+  json operator()(const link_pong& message) { return { { "id", message.id } }; }
 };
 
 std::string
@@ -151,6 +166,11 @@
   BOOST_LEAF_ASSIGN(result.timeout_ms, read_member<std::int64_t>(head, "timeout"));
   BOOST_LEAF_ASSIGN(result.version, read_member<std::uint64_t>(head, "version"));
   BOOST_LEAF_ASSIGN(result.window_bytes, read_member<std::int64_t>(head, "window"));
+  BOOST_LEAF_ASSIGN(result.instance, read_member<std::string>(head, "instance"));
+  BOOST_LEAF_ASSIGN(result.caller_service, read_member<std::string>(head, "caller"));
+  BOOST_LEAF_ASSIGN(result.work, read_member<std::string>(head, "work"));
+  BOOST_LEAF_ASSIGN(result.priority, read_member<std::int64_t>(head, "priority"));
+  BOOST_LEAF_ASSIGN(result.objective_ms, read_member<std::int64_t>(head, "objective"));
   result.body = std::move(payload);
   return traffic_message(std::move(result));
 }
@@ -167,6 +187,19 @@
   return traffic_message(std::move(result));
 }
 
+/** Reads a complete answer. */
+static leaf::result<traffic_message>
+parse_answer_whole(const json& head, call_id id, std::string&& payload)
+{
+  answer_whole result;
+  result.id = id;
+  BOOST_LEAF_ASSIGN(result.head.status, read_member<unsigned>(head, "status"));
+  BOOST_LEAF_ASSIGN(result.head.headers, parse_headers(head));
+  BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  result.body = std::move(payload);
+  return traffic_message(std::move(result));
+}
+
 /** Reads the end of an answer. */
 static leaf::result<traffic_message>
 parse_answer_end(const json& head, call_id id)
@@ -229,6 +262,12 @@
       BOOST_LEAF_AUTO(claim, read_enum<key_claim>(head, "claim"));
       return traffic_message(key_reply{ id, claim });
     }
+    case traffic_kind::answer_whole:
+      return parse_answer_whole(head, id, std::move(from.payload));
+    case traffic_kind::link_ping:
+      return traffic_message(link_ping{ id });
+    case traffic_kind::link_pong:
+      return traffic_message(link_pong{ id });
   }
   return bad_message();
 }
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -23,9 +23,12 @@
   call_refused, ///< The request ends without a whole answer.
   key_query,    ///< Asks whether a request key ran, and for the promise not to run it.
   key_reply,    ///< Answers a query.
+  answer_whole, ///< A complete answer; the body is the payload.
+  link_ping,    ///< Asks whether the link still carries messages.
+  link_pong,    ///< Answers a ping.
 };
 
-inline constexpr enum_table<traffic_kind, 9> TRAFFIC_KIND_ROWS = { {
+inline constexpr enum_table<traffic_kind, 12> TRAFFIC_KIND_ROWS = { {
   { traffic_kind::call_open, "call_open" },
   { traffic_kind::call_cancel, "call_cancel" },
   { traffic_kind::call_credit, "call_credit" },
@@ -35,8 +38,11 @@
   { traffic_kind::call_refused, "call_refused" },
   { traffic_kind::key_query, "key_query" },
   { traffic_kind::key_reply, "key_reply" },
+  { traffic_kind::answer_whole, "answer_whole" },
+  { traffic_kind::link_ping, "link_ping" },
+  { traffic_kind::link_pong, "link_pong" },
 } };
-static_assert(is_complete(TRAFFIC_KIND_ROWS, traffic_kind::key_reply));
+static_assert(is_complete(TRAFFIC_KIND_ROWS, traffic_kind::link_pong));
 
 /** @return The name table of traffic message kinds. */
 constexpr const auto&
@@ -147,6 +153,11 @@
   std::int64_t timeout_ms = 0;               ///< Time left until the deadline.
   std::uint64_t version = 0;                 ///< Version that the route came from.
   std::int64_t window_bytes = 0;             ///< Credit to start with.
+  std::string instance;                      ///< Incarnation that is meant; empty: any.
+  service_id caller_service;                 ///< Service of the VM where the request began.
+  std::string work;                          ///< Kind of work, by which service times are learnt.
+  std::int64_t priority = 0;                 ///< Rank in the queue; 0 is the highest.
+  std::int64_t objective_ms = 0;             ///< Time left in which an answer is fully useful.
   std::string body;                          ///< Whole body.
   bool operator==(const call_open&) const = default;
 };
@@ -239,6 +250,30 @@
   bool operator==(const key_reply&) const = default;
 };
 
+/** A complete answer. */
+struct answer_whole
+{
+  call_id id = 0;     ///< The call.
+  response_head head; ///< Status and headers.
+  load_report load;   ///< State of the server's queue.
+  std::string body;   ///< Whole body.
+  bool operator==(const answer_whole&) const = default;
+};
+
+/** Asks whether the link still carries messages. */
+struct link_ping
+{
+  call_id id = 0; ///< Number of the ping.
+  bool operator==(const link_ping&) const = default;
+};
+
+/** Answers a ping. */
+struct link_pong
+{
+  call_id id = 0; ///< Number of the ping.
+  bool operator==(const link_pong&) const = default;
+};
+
 /** Any traffic message; the alternatives stand in the order of traffic_kind. */
 using traffic_message = std::variant<call_open,
                                      call_cancel,
@@ -248,7 +283,10 @@
                                      answer_end,
                                      call_refused,
                                      key_query,
-                                     key_reply>;
+                                     key_reply,
+                                     answer_whole,
+                                     link_ping,
+                                     link_pong>;
 
 /** @param message Any traffic message. @return Its kind. */
 inline traffic_kind
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,11 +18,11 @@
   cxxopts::Options options(
     "shallotfield",
     "Distributes the configuration of a service mesh and routes its "
-    "requests.\nCommands: node, publish, check, status, history, diff, drain");
+    "requests.\nCommands: node, proxy, publish, check, status, history, diff, drain");
   // clang-format off
   options.add_options()
     ("command", "What to do", cxxopts::value<std::string>())
-    ("settings", "Settings file of a node (JSON)", cxxopts::value<std::string>())
+    ("settings", "Settings file of a node or a proxy (JSON)", cxxopts::value<std::string>())
     ("node", "Operators' port of a node, HOST:PORT", cxxopts::value<std::string>())
     ("token", "Operators' token; default: SHALLOTFIELD_TOKEN", cxxopts::value<std::string>())
     ("file", "Document (JSON)", cxxopts::value<std::string>())
@@ -76,6 +76,8 @@
   switch (name) {
     case command::node:
       return run_node(options);
+    case command::proxy:
+      return run_proxy(options);
     case command::publish:
       return run_publish(options);
     case command::check:
--- a/src/process/clock.cpp
+++ b/src/process/clock.cpp
@@ -2,6 +2,7 @@
 #include "clock_type.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace shallotfield {
 
@@ -10,7 +11,12 @@
 {
   using namespace std::chrono;
   instant now;
-  now.mono = duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+  // CLOCK_BOOTTIME counts the time that the machine was suspended, which the steady clock doesn't.
+  timespec since_boot{};
+  clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  now.mono =
+    duration_cast<milliseconds>(seconds(since_boot.tv_sec) + nanoseconds(since_boot.tv_nsec))
+      .count();
   now.unix = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
   return now;
 }
--- /dev/null
+++ b/src/process/config_follower.cpp
@@ -0,0 +1,235 @@
+// Decides how a proxy keeps its configuration up to date.
+#include "config_follower_base.h"
+
+#include <tuple>
+
+namespace shallotfield {
+
+/** Proxies that follow the store at the same time: one may be cut off unnoticed. */
+static constexpr std::size_t READERS = 2;
+
+/** Longest wait for a record in one call. A reader that is cut off without notice is replaced
+ * within this time and the call's timeout, which together lie below the 2 s within which a
+ * configuration has to be in force. */
+static constexpr std::int64_t TAIL_WAIT_MS = 800;
+
+/** Time between the start of two reads when records follow each other quickly. */
+static constexpr mono_ms READ_INTERVAL_MS = 350;
+
+/** Time between two calls to a store that fails. */
+static constexpr mono_ms RETRY_MS = 1000;
+
+/** After this time a store that failed is tried again by any reader. */
+static constexpr mono_ms FORGET_FAILURE_MS = 8000;
+
+/** Time in which a peer in the same zone may get a version first, so that it crosses zones once. */
+static constexpr mono_ms NEIGHBOUR_HEAD_START_MS = 250;
+
+/** Time after which a peer that failed to send a configuration is asked again. */
+static constexpr mono_ms FETCH_RETRY_MS = 200;
+
+/** Time between two transfers, also if a peer sends what can't be read. */
+static constexpr mono_ms FETCH_PAUSE_MS = 50;
+
+/** Time for the first beacons to arrive, before a proxy takes itself for a reader. */
+static constexpr mono_ms JOIN_MS = 600;
+
+config_follower::config_follower(node_beacon self, mono_ms now)
+  : self_(std::move(self))
+  , started_at_(now)
+{
+}
+
+std::vector<follow_effect>
+config_follower::handle(const follow_event& event, const peer_table& peers, mono_ms now)
+{
+  effects_.clear();
+  std::visit([&](const auto& item) { on(item, peers, now); }, event);
+  fetch(peers, now);
+  read_store(peers, now);
+  return std::move(effects_);
+}
+
+void
+config_follower::note_store(bool is_reachable, mono_ms now)
+{
+  if (is_reachable != is_store_reachable_) {
+    is_store_reachable_ = is_reachable;
+    unreachable_since_ = now;
+  }
+}
+
+void
+config_follower::set_reachable(bool is_reachable, mono_ms now)
+{
+  if (is_reachable != is_store_reachable_) {
+    note_store(is_reachable, now);
+    effects_.emplace_back(store_reach_changed{ is_reachable });
+  }
+}
+
+bool
+config_follower::ranks_as_reader(const peer_table& peers) const
+{
+  // Those that reach the store go first; the rest of the order is the same at every proxy.
+  using rank = std::tuple<bool, std::string_view>;
+  std::vector<std::pair<rank, std::string_view>> candidates;
+  candidates.emplace_back(rank{ !is_store_reachable_, self_.id }, self_.region);
+  for (const auto& [id, peer] : peers.peers()) {
+    if (peer.is_alive && !peer.beacon.is_leaving) {
+      candidates.emplace_back(rank{ !peer.beacon.is_store_reachable, id }, peer.beacon.region);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  // The second reader stands in another region, if one reaches the store from there.
+  const auto& first = candidates.front();
+  const auto other =
+    std::find_if(candidates.begin() + 1, candidates.end(), [&first](const auto& item) {
+      return item.second != first.second && std::get<0>(item.first) == std::get<0>(first.first);
+    });
+  if (other != candidates.end()) {
+    std::rotate(candidates.begin() + 1, other, other + 1);
+  }
+  candidates.resize(std::min(candidates.size(), READERS));
+  return std::any_of(candidates.begin(), candidates.end(), [this](const auto& item) {
+    return std::get<1>(item.first) == self_.id;
+  });
+}
+
+void
+config_follower::read_store(const peer_table& peers, mono_ms now)
+{
+  const bool has_joined = are_peers_known_ && now - started_at_ >= JOIN_MS;
+  if (!is_store_reachable_ && now - unreachable_since_ > FORGET_FAILURE_MS) {
+    set_reachable(true, now);
+  }
+  is_reader_ = has_joined && ranks_as_reader(peers);
+  if (!is_reader_ || is_reading_ || now < next_read_at_) {
+    return;
+  }
+  is_reading_ = true;
+  next_read_at_ = now + READ_INTERVAL_MS;
+  if (next_) {
+    effects_.emplace_back(read_config_tail{ *next_, TAIL_WAIT_MS });
+  } else {
+    effects_.emplace_back(read_newest_config{});
+  }
+}
+
+void
+config_follower::fetch(const peer_table& peers, mono_ms now)
+{
+  if (is_fetching_ || now < fetch_again_at_) {
+    return;
+  }
+  std::uint64_t newest = 0;
+  bool is_first_of_zone = true;
+  for (const auto& [id, peer] : peers.peers()) {
+    if (peer.is_alive) {
+      newest = std::max(newest, peer.beacon.config_version);
+      is_first_of_zone = is_first_of_zone && !(peer.beacon.zone == self_.zone && id < self_.id);
+    }
+  }
+  if (newest <= version_) {
+    return;
+  }
+  if (newest != wanted_version_) {
+    if (wanted_version_ <= version_) {
+      wanted_since_ = now;
+    }
+    wanted_version_ = newest;
+    failed_peers_.clear();
+  }
+  const auto distance = [this](const node_beacon& peer) {
+    return peer.zone == self_.zone ? 0 : peer.region == self_.region ? 1 : 2;
+  };
+  const peer_entry* best = nullptr;
+  for (const auto& [id, peer] : peers.peers()) {
+    const bool has_newer = peer.is_alive && peer.beacon.config_version > version_;
+    if (!has_newer || failed_peers_.contains(id)) {
+      continue;
+    }
+    if (best == nullptr || distance(peer.beacon) < distance(best->beacon)) {
+      best = &peer;
+    }
+  }
+  if (best == nullptr) {
+    failed_peers_.clear();
+    fetch_again_at_ = now + FETCH_RETRY_MS;
+    return;
+  }
+  const bool may_cross = is_first_of_zone || now - wanted_since_ >= NEIGHBOUR_HEAD_START_MS;
+  if (distance(best->beacon) > 0 && !may_cross) {
+    return;
+  }
+  is_fetching_ = true;
+  effects_.emplace_back(fetch_config{ best->beacon.id });
+}
+
+void
+config_follower::on(const follow_checked& /*event*/, const peer_table& /*peers*/, mono_ms /*now*/)
+{
+}
+
+void
+config_follower::on(const newest_read& event, const peer_table& /*peers*/, mono_ms now)
+{
+  is_reading_ = false;
+  set_reachable(true, now);
+  next_ = event.next;
+  if (event.text) {
+    effects_.emplace_back(apply_config{ *event.text, true });
+  }
+}
+
+void
+config_follower::on(const tail_read& event, const peer_table& /*peers*/, mono_ms now)
+{
+  is_reading_ = false;
+  set_reachable(true, now);
+  next_ = event.next;
+  if (event.text) {
+    effects_.emplace_back(apply_config{ *event.text, true });
+  }
+}
+
+void
+config_follower::on(const tail_lost& /*event*/, const peer_table& /*peers*/, mono_ms now)
+{
+  is_reading_ = false;
+  set_reachable(true, now);
+  next_.reset();
+  next_read_at_ = now;
+}
+
+void
+config_follower::on(const store_failed& /*event*/, const peer_table& /*peers*/, mono_ms now)
+{
+  is_reading_ = false;
+  next_read_at_ = now + RETRY_MS;
+  set_reachable(false, now);
+}
+
+void
+config_follower::on(const copy_received& event, const peer_table& /*peers*/, mono_ms now)
+{
+  is_fetching_ = false;
+  fetch_again_at_ = now + FETCH_PAUSE_MS;
+  effects_.emplace_back(apply_config{ event.text, false });
+}
+
+void
+config_follower::on(const copy_failed& event, const peer_table& /*peers*/, mono_ms now)
+{
+  is_fetching_ = false;
+  failed_peers_.insert(event.node);
+  fetch_again_at_ = now;
+}
+
+void
+config_follower::on(const version_applied& event, const peer_table& /*peers*/, mono_ms /*now*/)
+{
+  version_ = event.version;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/peer_table.cpp
@@ -0,0 +1,124 @@
+// Keeps the latest beacon of each peer.
+#include "peer_table_base.h"
+
+namespace shallotfield {
+
+/** Shortest time between two beacons: two fit into a second, so a server's change is known soon
+ * even if the beacon that told it was lost. */
+static constexpr std::int64_t BEACON_INTERVAL_MS = 500;
+
+/** Time between beacons for each peer: bounds a node's datagrams to about 80 a second. */
+static constexpr std::int64_t BEACON_MS_PER_PEER = 12;
+
+/** Beacons in a row that may be lost before a peer counts as gone. */
+static constexpr std::int64_t BEACONS_MISSED_MAX = 3;
+
+/** Processes of a node that are remembered, so that their late beacons are recognised. */
+static constexpr std::size_t PAST_BOOTS_KEPT = 4;
+
+/** Peers that were silent for so long are forgotten; the directory still lists them. */
+static constexpr mono_ms FORGET_AFTER_MS = 600'000;
+
+bool
+peer_table::add_address(const node_beacon& address, mono_ms now)
+{
+  if (address.id == self_) {
+    return false;
+  }
+  auto [found, is_new] = peers_.try_emplace(address.id);
+  peer_entry& peer = found->second;
+  if (is_new) {
+    peer.beacon = address;
+    peer.added_at = now;
+  } else if (!peer.is_alive) {
+    peer.beacon.host = address.host;
+  }
+  return is_new;
+}
+
+beacon_effect
+peer_table::take(const node_beacon& beacon, mono_ms now)
+{
+  if (beacon.id == self_) {
+    return beacon_effect::stale;
+  }
+  add_address(beacon, now);
+  peer_entry& peer = peers_.at(beacon.id);
+  const auto& past = peer.past;
+  if (std::find(past.begin(), past.end(), beacon.boot) != past.end()) {
+    return beacon_effect::stale;
+  }
+  const bool is_same_process = peer.beacon.boot == beacon.boot;
+  if (is_same_process && beacon.sequence <= peer.beacon.sequence) {
+    return beacon_effect::stale;
+  }
+  if (!is_same_process && peer.beacon.boot != 0) {
+    peer.past.push_back(peer.beacon.boot);
+    if (peer.past.size() > PAST_BOOTS_KEPT) {
+      peer.past.pop_front();
+    }
+  }
+  const node_beacon& known = peer.beacon;
+  const bool has_changed = !peer.is_alive || !is_same_process || known.server != beacon.server ||
+                           known.host != beacon.host || known.is_leaving != beacon.is_leaving ||
+                           known.config_version != beacon.config_version ||
+                           known.is_store_reachable != beacon.is_store_reachable;
+  peer.beacon = beacon;
+  peer.is_alive = true;
+  peer.heard_at = now;
+  return has_changed ? beacon_effect::changed : beacon_effect::refreshed;
+}
+
+bool
+peer_table::expire(mono_ms now)
+{
+  bool has_changed = false;
+  for (auto& [id, peer] : peers_) {
+    if (peer.is_alive && now - peer.heard_at > silence_ms()) {
+      peer.is_alive = false;
+      has_changed = true;
+    }
+  }
+  std::erase_if(peers_, [now](const auto& item) {
+    const peer_entry& peer = item.second;
+    return !peer.is_alive && now - std::max(peer.heard_at, peer.added_at) > FORGET_AFTER_MS;
+  });
+  return has_changed;
+}
+
+void
+peer_table::excuse_silence(mono_ms now)
+{
+  for (auto& [id, peer] : peers_) {
+    if (peer.is_alive) {
+      peer.heard_at = now;
+    }
+  }
+}
+
+peer_view_ptr
+peer_table::view() const
+{
+  auto result = std::make_shared<peer_view>();
+  for (const auto& [id, peer] : peers_) {
+    if (peer.is_alive) {
+      result->emplace(id, peer.beacon);
+    }
+  }
+  return result;
+}
+
+std::int64_t
+peer_table::interval_ms() const
+{
+  return std::max(BEACON_INTERVAL_MS,
+                  BEACON_MS_PER_PEER * static_cast<std::int64_t>(peers_.size()));
+}
+
+std::int64_t
+peer_table::silence_ms() const
+{
+  return interval_ms() * BEACONS_MISSED_MAX + BEACON_INTERVAL_MS / 2;
+}
+
+} // namespace shallotfield
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -1,15 +1,20 @@
 // What lives as long as the process: settings, logs, metrics, clocks, membership, platform client.
 #pragma once
-#include "census_type.h"     // IWYU pragma: export
-#include "clock_type.h"      // IWYU pragma: export
-#include "enum_table.h"      // IWYU pragma: export
-#include "log_client_base.h" // IWYU pragma: export
-#include "log_client_type.h" // IWYU pragma: export
-#include "log_func.h"        // IWYU pragma: export
-#include "log_type.h"        // IWYU pragma: export
-#include "member_type.h"     // IWYU pragma: export
-#include "membership_base.h" // IWYU pragma: export
-#include "metrics_func.h"    // IWYU pragma: export
-#include "metrics_type.h"    // IWYU pragma: export
-#include "settings_func.h"   // IWYU pragma: export
-#include "settings_type.h"   // IWYU pragma: export
+#include "beacon_type.h"          // IWYU pragma: export
+#include "census_type.h"          // IWYU pragma: export
+#include "clock_type.h"           // IWYU pragma: export
+#include "config_follower_base.h" // IWYU pragma: export
+#include "enum_table.h"           // IWYU pragma: export
+#include "log_client_base.h"      // IWYU pragma: export
+#include "log_client_type.h"      // IWYU pragma: export
+#include "log_func.h"             // IWYU pragma: export
+#include "log_type.h"             // IWYU pragma: export
+#include "member_type.h"          // IWYU pragma: export
+#include "membership_base.h"      // IWYU pragma: export
+#include "metrics_func.h"         // IWYU pragma: export
+#include "metrics_type.h"         // IWYU pragma: export
+#include "peer_table_base.h"      // IWYU pragma: export
+#include "proxy_settings.h"       // IWYU pragma: export
+#include "server_watch_base.h"    // IWYU pragma: export
+#include "settings_func.h"        // IWYU pragma: export
+#include "settings_type.h"        // IWYU pragma: export
--- /dev/null
+++ b/src/process/proxy_announcements.cpp
@@ -0,0 +1,166 @@
+// The server beside a proxy announces itself, and the platform asks whether the proxy is ready.
+#include "proxy_node_base.h"
+
+namespace shallotfield {
+
+/** Largest body of an announcement. */
+static constexpr std::uint64_t ANNOUNCEMENT_BYTES_MAX = 64U << 10U;
+
+/** Time for the first announcement to arrive, before the server is looked for. */
+static constexpr mono_ms PROBE_AFTER_MS = 250;
+
+/** Pause between two health checks of a server that doesn't answer. */
+static constexpr mono_ms PROBE_INTERVAL_MS = 1000;
+
+/** Longest time for a health check. */
+static constexpr int PROBE_TIMEOUT_MS = 500;
+
+/** Slots that are assumed of a server until it announces them. */
+static constexpr std::uint32_t PROBED_SLOTS = 6;
+
+static constexpr unsigned STATUS_OK = 200;
+static constexpr unsigned STATUS_BAD_REQUEST = 400;
+static constexpr unsigned STATUS_NOT_FOUND = 404;
+static constexpr unsigned STATUS_UNAVAILABLE = 503;
+
+http_session&
+proxy_node::keep_session(qintptr descriptor)
+{
+  const std::uint64_t id = next_id_++;
+  auto owned = std::make_unique<http_session>(descriptor, ANNOUNCEMENT_BYTES_MAX);
+  http_session& session = *owned;
+  session.on_gone = [this, id] {
+    const auto found = sessions_.find(id);
+    if (found != sessions_.end()) {
+      // The session is calling right now, so it is deleted from the event loop.
+      std::shared_ptr<http_session> ended = std::move(found->second);
+      sessions_.erase(found);
+      QMetaObject::invokeMethod(
+        &context_, [ended] {}, Qt::QueuedConnection);
+    }
+  };
+  sessions_.emplace(id, std::move(owned));
+  return session;
+}
+
+void
+proxy_node::accept_announcements(qintptr descriptor)
+{
+  http_session& session = keep_session(descriptor);
+  session.on_request = [this, &session](whole_request&& request) {
+    take_announcement(session, request);
+  };
+}
+
+void
+proxy_node::accept_readiness(qintptr descriptor)
+{
+  http_session& session = keep_session(descriptor);
+  session.on_request = [this, &session](whole_request&& request) {
+    if (!platform::is_readiness_question(request.head)) {
+      session.answer(STATUS_NOT_FOUND, {}, "");
+      return;
+    }
+    session.answer(is_ready() ? STATUS_OK : STATUS_UNAVAILABLE, {}, "");
+  };
+}
+
+void
+proxy_node::take_announcement(http_session& session, const whole_request& request)
+{
+  const mono_ms now = read_clocks().mono;
+  const std::vector<http_header> json = { { "Content-Type", "application/json" } };
+  std::visit(overloaded{
+               [&](const server_heartbeat& item) {
+                 const bool is_known_service =
+                   !table_ || table_->find_service(item.service) != nullptr;
+                 const heartbeat_effect effect =
+                   is_known_service ? server_.take(item, now) : heartbeat_effect::ignored;
+                 session.answer(STATUS_OK, json, platform::ACKNOWLEDGEMENT);
+                 if (effect != heartbeat_effect::refreshed) {
+                   write_log(log_event::server_announced,
+                             { { "instance", item.instance },
+                               { "service", item.service },
+                               { "state", enum_name(item.state) },
+                               { "slots", item.slots },
+                               { "sequence", item.sequence },
+                               { "born", item.born.value_or(0) },
+                               { "effect", enum_name(effect) } });
+                 }
+                 if (effect == heartbeat_effect::changed) {
+                   publish_server();
+                 }
+               },
+               [&](const platform::server_departure& item) {
+                 session.answer(STATUS_OK, json, platform::ACKNOWLEDGEMENT);
+                 const bool has_changed = server_.leave(item.instance);
+                 write_log(log_event::server_announced,
+                           { { "instance", item.instance },
+                             { "state", "gone" },
+                             { "effect", has_changed ? "changed" : "ignored" } });
+                 if (has_changed) {
+                   publish_server();
+                 }
+               },
+               [&](platform::announcement_fault fault) {
+                 count(counter_id::inputs_refused);
+                 write_log(log_event::input_refused,
+                           { { "edge", "announcements" }, { "fault", enum_name(fault) } });
+                 const bool is_unknown = fault == platform::announcement_fault::unknown_call;
+                 session.answer(is_unknown ? STATUS_NOT_FOUND : STATUS_BAD_REQUEST, json, "{}");
+               },
+             },
+             platform::parse_announcement(request.head, request.body));
+}
+
+void
+proxy_node::publish_server()
+{
+  traffic_.set_server(server_.notice());
+  publish_peers();
+  send_beacons(false);
+}
+
+void
+proxy_node::probe_server()
+{
+  const mono_ms now = read_clocks().mono;
+  const bool is_due = table_ && server_.notice().instance.empty() && !probe_ &&
+                      now - started_at_ >= PROBE_AFTER_MS && now >= next_probe_at_;
+  if (options_.is_first_start || !is_due) {
+    return;
+  }
+  const service_rule* service = table_->find_service(options_.service);
+  if (service == nullptr || service->health_path.empty()) {
+    return;
+  }
+  next_probe_at_ = now + PROBE_INTERVAL_MS;
+  probe_ = std::make_unique<http_client>(options_.server_address, PROBE_TIMEOUT_MS);
+  const auto end_probe = [this] {
+    std::shared_ptr<http_client> ended = std::move(probe_);
+    if (ended) {
+      ended->abort();
+      QMetaObject::invokeMethod(
+        &context_, [ended] {}, Qt::QueuedConnection);
+    }
+  };
+  probe_->on_piece = [this, end_probe](response_piece&& piece) {
+    if (!piece.head) {
+      return;
+    }
+    const bool is_healthy = piece.head->status == STATUS_OK;
+    const std::string instance = platform::read_instance(*piece.head);
+    end_probe();
+    if (is_healthy &&
+        server_.take_probe(instance, options_.service, PROBED_SLOTS, read_clocks().mono)) {
+      write_log(log_event::server_announced,
+                { { "instance", instance }, { "state", "ready" }, { "effect", "probed" } });
+      publish_server();
+    }
+  };
+  probe_->on_failed = [end_probe](client_failure) { end_probe(); };
+  QTimer::singleShot(PROBE_TIMEOUT_MS, &context_, end_probe);
+  probe_->send({ "GET", service->health_path, { { "Host", options_.server_address.host } } }, "");
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_callers.cpp
@@ -0,0 +1,232 @@
+// Callers' connections of a proxy, and the course of their requests.
+#include "platform/platform.h"
+#include "proxy_traffic_base.h"
+
+#include <boost/asio/post.hpp>
+
+namespace shallotfield {
+
+void
+proxy_traffic::add_caller(boost::asio::ip::tcp::socket&& socket)
+{
+  const caller_id id = next_id_++;
+  const caller_limits limits = table_ ? table_->limits() : caller_limits{};
+  const caller_stream_ptr stream = std::make_shared<caller_stream>(
+    context_,
+    caller_stream_limits{ static_cast<std::uint32_t>(limits.head_bytes_max),
+                          static_cast<std::uint64_t>(limits.body_bytes_max) });
+  callers_[id].stream = stream;
+  stream->on_request = [this, id](request_number number, whole_request&& request) {
+    take_request(id, number, std::move(request));
+  };
+  stream->on_gone = [this, id] { drop_caller(id); };
+  stream->on_input = [this, id] { watch_caller(id); };
+  stream->accept(std::move(socket));
+  watch_caller(id);
+}
+
+void
+proxy_traffic::watch_caller(caller_id id)
+{
+  const auto found = callers_.find(id);
+  if (found == callers_.end()) {
+    return;
+  }
+  caller& item = found->second;
+  const bool is_reading = item.stream->is_reading();
+  if (item.timeout) {
+    timers_.cancel(*item.timeout);
+    item.timeout.reset();
+  }
+  if (!is_reading && !item.stream->is_idle()) {
+    return;
+  }
+  const caller_limits limits = table_ ? table_->limits() : caller_limits{};
+  const std::int64_t delay = is_reading ? limits.head_timeout_ms : limits.idle_timeout_ms;
+  item.timeout = timers_.schedule(delay, [this, id, is_reading] {
+    const auto late = callers_.find(id);
+    if (late == callers_.end()) {
+      return;
+    }
+    late->second.timeout.reset();
+    const caller_stream_ptr stream = late->second.stream;
+    if (is_reading) {
+      stream->refuse_slow_head();
+    } else {
+      stream->close_when_idle();
+    }
+  });
+}
+
+void
+proxy_traffic::drop_caller(caller_id id)
+{
+  const auto found = callers_.find(id);
+  if (found == callers_.end()) {
+    return;
+  }
+  caller gone = std::move(found->second);
+  callers_.erase(found);
+  if (gone.timeout) {
+    timers_.cancel(*gone.timeout);
+  }
+  for (const auto& [number, exchange] : gone.exchanges) {
+    raise(exchange, caller_left{});
+    end_exchange(exchange);
+  }
+}
+
+void
+proxy_traffic::take_request(caller_id id, request_number number, whole_request&& request)
+{
+  const exchange_id exchange_number = next_id_++;
+  exchange& added = exchanges_[exchange_number];
+  added.caller = id;
+  added.number = number;
+  const platform::caller_fields fields = platform::read_caller_fields(request.head);
+  added.state.request_id = fields.request_id;
+  added.state.wait_ms = fields.wait_ms;
+  added.state.head = std::move(request.head);
+  added.state.body = std::move(request.body);
+  added.state.table = table_;
+  callers_.at(id).exchanges[number] = exchange_number;
+  count_open();
+  raise(exchange_number, exchange_started{});
+  const auto found = exchanges_.find(exchange_number);
+  if (found != exchanges_.end()) {
+    const std::int64_t left = found->second.state.deadline - read_clocks().mono;
+    found->second.timeout = timers_.schedule(
+      left, [this, exchange_number] { raise(exchange_number, exchange_expired{}); });
+  }
+}
+
+void
+proxy_traffic::raise(exchange_id id, const exchange_event& event)
+{
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  const std::vector<exchange_effect> effects =
+    handle_exchange_event(found->second.state, event, proxy_, read_clocks().mono);
+  for (const exchange_effect& effect : effects) {
+    perform(id, effect);
+  }
+}
+
+void
+proxy_traffic::perform(exchange_id id, const exchange_effect& effect)
+{
+  std::visit(
+    overloaded{
+      [&](const send_attempt& item) { send(id, item); },
+      [&](const drop_attempt& item) { drop(id, item); },
+      [&](const give_answer& item) { answer(id, item.head, item.body); },
+      [&](const give_refusal& item) {
+        const std::string& request_id = exchanges_.at(id).state.request_id;
+        answer(id, { item.status, platform::refusal_headers(request_id, item.retry_after_ms) }, "");
+      },
+      [&](const exchange_log& item) { write_log(item.event, item.fields); },
+    },
+    effect);
+}
+
+void
+proxy_traffic::answer(exchange_id id, const response_head& head, std::string_view body)
+{
+  const exchange& done = exchanges_.at(id);
+  const auto owner = callers_.find(done.caller);
+  if (owner != callers_.end()) {
+    owner->second.exchanges.erase(done.number);
+    // The answer may close the connection, which drops its entry.
+    const caller_stream_ptr stream = owner->second.stream;
+    stream->answer(done.number, head, body);
+  }
+  observe_request_seconds(static_cast<double>(read_clocks().mono - done.state.started_at) / 1000);
+  end_exchange(id);
+}
+
+void
+proxy_traffic::end_exchange(exchange_id id)
+{
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  timers_.cancel(found->second.timeout);
+  exchanges_.erase(found);
+  count_open();
+}
+
+call_open
+proxy_traffic::make_call(const exchange& from, const send_attempt& effect) const
+{
+  const exchange_state& state = from.state;
+  call_open call;
+  call.head = state.head;
+  call.service = state.service;
+  call.kind =
+    state.rule->kind == request_kind::download ? work_class::bulk : work_class::interactive;
+  call.is_idempotent = is_idempotent(state.rule->kind);
+  call.region = options_.region;
+  call.timeout_ms = effect.timeout_ms;
+  call.version = state.table->version();
+  call.instance = effect.instance;
+  call.caller_service = options_.service;
+  call.work = state.rule->name;
+  call.priority = state.rule->priority;
+  call.objective_ms = state.started_at + state.rule->objective_ms - read_clocks().mono;
+  call.body = state.body;
+  return call;
+}
+
+void
+proxy_traffic::send(exchange_id id, const send_attempt& effect)
+{
+  exchange& from = exchanges_.at(id);
+  call_open call = make_call(from, effect);
+  if (effect.is_repeat) {
+    count(counter_id::retries);
+  }
+  if (effect.node == options_.node_id) {
+    // From the event loop, so that a refusal never comes before this attempt is noted.
+    const slot_ticket ticket = next_id_++;
+    from.routes.emplace_back(local_route{ ticket });
+    call.id = ticket;
+    boost::asio::post(context_,
+                      [this, id, attempt = effect.attempt, call = std::move(call)]() mutable {
+                        if (exchanges_.contains(id)) {
+                          add_job(local_origin{ id, attempt }, std::move(call));
+                        }
+                      });
+    return;
+  }
+  peer_link& link = link_to(effect.node, from.state.rule->kind);
+  call.id = link.next_call++;
+  link.calls[call.id] = { id, effect.attempt };
+  const std::string name = effect.node + (call.kind == work_class::bulk ? "/bulk" : "/short");
+  from.routes.emplace_back(peer_route{ name, call.id });
+  link.stream->send(call);
+  watch_link(name);
+}
+
+void
+proxy_traffic::drop(exchange_id id, const drop_attempt& effect)
+{
+  const exchange& from = exchanges_.at(id);
+  if (effect.attempt >= from.routes.size()) {
+    return;
+  }
+  std::visit(overloaded{
+               [&](const local_route& route) { cancel_job(route.ticket); },
+               [&](const peer_route& route) {
+                 const auto link = links_.find(route.link);
+                 if (link != links_.end() && link->second.calls.erase(route.call) > 0) {
+                   link->second.stream->send(call_cancel{ route.call });
+                 }
+               },
+             },
+             from.routes[effect.attempt]);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_config.cpp
@@ -0,0 +1,217 @@
+// How a proxy takes its configuration from the store or from a peer, and passes it on.
+#include "proxy_node_base.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Longest time until the store's answer, besides the wait for a record. */
+static constexpr std::int64_t STORE_TIMEOUT_MS = 500;
+
+/** Longest time for a peer to send its configuration. */
+static constexpr int FETCH_TIMEOUT_MS = 800;
+
+/** Limits of the frames that carry configurations. */
+static constexpr frame_limits CONFIG_FRAME_LIMITS = { 1024, CONFIG_BYTES_MAX };
+
+void
+proxy_node::follow(const follow_event& event)
+{
+  for (const follow_effect& effect : follower_.handle(event, peers_, read_clocks().mono)) {
+    perform(effect);
+  }
+}
+
+void
+proxy_node::perform(const follow_effect& effect)
+{
+  std::visit(
+    overloaded{
+      [&](const read_newest_config&) {
+        count(counter_id::log_reads);
+        store_.read_newest(platform::store_topic::operators,
+                           "",
+                           STORE_TIMEOUT_MS,
+                           [this](const platform::store_answer& answer) { take_newest(answer); });
+      },
+      [&](const read_config_tail& item) {
+        count(counter_id::log_reads);
+        store_.read_tail(platform::store_topic::operators,
+                         item.from,
+                         item.wait_ms,
+                         STORE_TIMEOUT_MS,
+                         [this](const platform::store_answer& answer) { take_tail(answer); });
+      },
+      [&](const fetch_config& item) { fetch(item); },
+      [&](const apply_config& item) { apply(item); },
+      [&](const store_reach_changed& item) {
+        write_log(item.is_reachable ? log_event::log_reachable : log_event::log_unreachable,
+                  { { "call", "configuration" } });
+        // Another proxy has to read in place of this one, or need no longer do so.
+        send_beacons(false);
+      },
+    },
+    effect);
+}
+
+/** @return The last value of the configuration among records. */
+static std::optional<std::string>
+latest_config(const std::vector<platform::keyed_record>& records)
+{
+  std::optional<std::string> text;
+  for (const platform::keyed_record& record : records) {
+    if (record.key == platform::CONFIGURATION_KEY && !record.value.empty()) {
+      text = record.value;
+    }
+  }
+  return text;
+}
+
+void
+proxy_node::take_newest(const platform::store_answer& answer)
+{
+  if (const auto* page = std::get_if<platform::newest_page>(&answer)) {
+    follow(newest_read{ latest_config(page->records), page->end });
+    return;
+  }
+  count(counter_id::log_failures);
+  follow(store_failed{});
+}
+
+void
+proxy_node::take_tail(const platform::store_answer& answer)
+{
+  if (const auto* tail = std::get_if<platform::topic_tail>(&answer)) {
+    follow(tail_read{ latest_config(tail->records), tail->next });
+  } else if (std::holds_alternative<platform::tail_trimmed>(answer)) {
+    write_log(log_event::log_gap, { { "call", "configuration" } });
+    follow(tail_lost{});
+  } else {
+    count(counter_id::log_failures);
+    follow(store_failed{});
+  }
+}
+
+void
+proxy_node::apply(const apply_config& effect)
+{
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(document, platform::parse_configuration(effect.text));
+      if (document.version <= follower_.version() && table_) {
+        return {}; // A proxy never goes back.
+      }
+      table_ = std::make_shared<const route_table>(std::move(document));
+      config_text_ = effect.text;
+      traffic_.set_table(table_);
+      count(counter_id::versions_applied);
+      write_log(log_event::version_in_force,
+                { { "version", table_->version() },
+                  { "source", effect.is_from_store ? "store" : "peer" },
+                  { "bytes", config_text_.size() } });
+      follow(version_applied{ table_->version() });
+      send_beacons(false);
+      return {};
+    },
+    [&](const platform::configuration_error& error) {
+      count(counter_id::updates_refused);
+      write_log(log_event::update_refused,
+                { { "field", error.field },
+                  { "source", effect.is_from_store ? "store" : "peer" },
+                  { "in_force", follower_.version() } });
+    },
+    [] {});
+}
+
+void
+proxy_node::fetch(const fetch_config& effect)
+{
+  const std::uint64_t id = next_id_++;
+  auto call = std::make_unique<config_transfer_call>();
+  call->socket = std::make_unique<framed_socket>(CONFIG_FRAME_LIMITS);
+  call->socket->on_frame = [this, id](frame&& from) {
+    std::optional<std::string> text;
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, parse_config_transfer(from));
+        if (auto* copy = std::get_if<config_copy>(&message)) {
+          text = std::move(copy->text);
+        }
+        return {};
+      },
+      [](const frame_error& error) {
+        write_log(log_event::input_refused,
+                  { { "edge", "configuration" }, { "fault", enum_name(error.fault) } });
+      },
+      [] {});
+    end_fetch(id, std::move(text));
+  };
+  call->socket->on_end = [this, id](link_end) { end_fetch(id, std::nullopt); };
+  call->timeout.setSingleShot(true);
+  QObject::connect(
+    &call->timeout, &QTimer::timeout, &context_, [this, id] { end_fetch(id, std::nullopt); });
+  call->timeout.setObjectName(QString::fromStdString(effect.node));
+  call->timeout.start(FETCH_TIMEOUT_MS);
+  const node_beacon& peer = peers_.peers().at(effect.node).beacon;
+  call->socket->connect_to({ peer.host, static_cast<std::uint16_t>(options_.peers_port + 1) },
+                           FETCH_TIMEOUT_MS);
+  call->socket->send(encode_config_transfer(config_question{}));
+  fetches_.emplace(id, std::move(call));
+}
+
+void
+proxy_node::end_fetch(std::uint64_t id, std::optional<std::string> text)
+{
+  const auto found = fetches_.find(id);
+  if (found == fetches_.end()) {
+    return;
+  }
+  std::shared_ptr<config_transfer_call> ended = std::move(found->second);
+  fetches_.erase(found);
+  ended->timeout.stop();
+  ended->socket->on_frame = nullptr;
+  // The socket may be calling right now, so it is deleted from the event loop.
+  QMetaObject::invokeMethod(
+    &context_, [ended] {}, Qt::QueuedConnection);
+  if (text) {
+    follow(copy_received{ std::move(*text) });
+  } else {
+    follow(copy_failed{ ended->timeout.objectName().toStdString() });
+  }
+}
+
+void
+proxy_node::accept_config_question(qintptr descriptor)
+{
+  const std::uint64_t id = next_id_++;
+  auto link = std::make_unique<framed_socket>(CONFIG_FRAME_LIMITS);
+  framed_socket* socket = link.get();
+  socket->on_frame = [this, socket](frame&& from) {
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, parse_config_transfer(from));
+        if (std::holds_alternative<config_question>(message) && table_) {
+          socket->send(encode_config_transfer(config_copy{ table_->version(), config_text_ }));
+        }
+        socket->close();
+        return {};
+      },
+      [&](const frame_error& error) { socket->refuse(error); },
+      [] {});
+  };
+  socket->on_end = [this, id](link_end) {
+    const auto found = config_links_.find(id);
+    if (found != config_links_.end()) {
+      std::shared_ptr<framed_socket> ended = std::move(found->second);
+      config_links_.erase(found);
+      QMetaObject::invokeMethod(
+        &context_, [ended] {}, Qt::QueuedConnection);
+    }
+  };
+  config_links_.emplace(id, std::move(link));
+  socket->accept(descriptor);
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_node.cpp
@@ -0,0 +1,285 @@
+// The control thread of a proxy: ticks, beacons and leaving.
+#include "proxy_node_base.h"
+
+#include <QHostAddress>
+#include <QNetworkDatagram>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+
+namespace leaf = boost::leaf;
+
+namespace shallotfield {
+
+/** Interval of looking at timeouts. */
+static constexpr int TICK_MS = 100;
+
+/** A tick that is so late means that the process did not run. */
+static constexpr mono_ms PAUSE_MS = 1500;
+
+/** Announcements in a row that may be lost before a server counts as gone. */
+static constexpr std::int64_t ANNOUNCEMENTS_MISSED_MAX = 4;
+
+/** Peers that don't live get every so many-th beacon. */
+static constexpr std::uint64_t SILENT_PEER_ROUNDS = 4;
+
+/** Time after which callers' connections are closed: until then the platform has seen twice that
+ * this proxy isn't ready, and sends nothing new. */
+static constexpr mono_ms DRAIN_AFTER_MS = 2500;
+
+/** Shortest time from the signal to the end of the process: late requests are still answered. */
+static constexpr mono_ms LEAVE_AFTER_MS = 3200;
+
+/** Time before the end of the grace period at which the process ends whatever is open. */
+static constexpr mono_ms LEAVE_MARGIN_MS = 300;
+
+/** @return A number that no other process of the node has. */
+static std::uint64_t
+draw_boot()
+{
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> draw(1, UINT64_MAX);
+  return draw(device);
+}
+
+/** @return This node as its peers see it at first. */
+static node_beacon
+first_beacon(const proxy_settings& options)
+{
+  node_beacon self;
+  self.id = options.node_id;
+  self.boot = draw_boot();
+  self.region = options.region;
+  self.zone = options.zone;
+  self.host = options.host;
+  return self;
+}
+
+proxy_node::proxy_node(proxy_settings options, const platform::fleet_bounds& bounds)
+  : options_(std::move(options))
+  , bounds_(bounds)
+  , self_(first_beacon(options_))
+  , peers_(options_.node_id)
+  , server_(options_.server_address, options_.server_heartbeat_ms * ANNOUNCEMENTS_MISSED_MAX)
+  , follower_(self_, read_clocks().mono)
+  , store_(options_.store_address)
+  , traffic_(options_, { bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms }, self_)
+  , started_at_(read_clocks().mono)
+  , last_tick_(started_at_)
+  , alone_since_(started_at_)
+{
+  traffic_.on_server_refused = [this] {
+    QMetaObject::invokeMethod(
+      &context_,
+      [this] {
+        if (server_.note_refused()) {
+          publish_server();
+        }
+      },
+      Qt::QueuedConnection);
+  };
+}
+
+proxy_node::~proxy_node() = default;
+
+/** Opens a port of the control thread. */
+static leaf::result<void>
+open_port(listener& port, const endpoint& at, std::string_view setting)
+{
+  if (!port.listen(QHostAddress(QString::fromStdString(at.host)), at.port)) {
+    return leaf::new_error(setting_error{ std::string(setting), setting_fault::bad_value });
+  }
+  return {};
+}
+
+leaf::result<void>
+proxy_node::start()
+{
+  write_log(log_event::started,
+            { { "node", options_.node_id },
+              { "zone", options_.zone },
+              { "region", options_.region },
+              { "service", options_.service },
+              { "boot", self_.boot } });
+  const auto control_port = static_cast<std::uint16_t>(options_.peers_port + 1);
+  BOOST_LEAF_CHECK(
+    open_port(announcements_port_, options_.announcements_address, "announcements_address"));
+  BOOST_LEAF_CHECK(open_port(readiness_port_, options_.readiness_address, "readiness_address"));
+  BOOST_LEAF_CHECK(open_port(config_port_, { options_.host, control_port }, "peers_port"));
+  const QHostAddress host(QString::fromStdString(options_.host));
+  if (!beacons_.bind(host, control_port)) {
+    return leaf::new_error(setting_error{ "peers_port", setting_fault::bad_value });
+  }
+  announcements_port_.on_connection = [this](qintptr at) { accept_announcements(at); };
+  readiness_port_.on_connection = [this](qintptr at) { accept_readiness(at); };
+  config_port_.on_connection = [this](qintptr at) { accept_config_question(at); };
+  QObject::connect(&beacons_, &QUdpSocket::readyRead, &context_, [this] { read_beacons(); });
+  BOOST_LEAF_CHECK(traffic_.start());
+  QObject::connect(&ticks_, &QTimer::timeout, &context_, [this] { tick(); });
+  ticks_.start(TICK_MS);
+  join();
+  return {};
+}
+
+void
+proxy_node::tick()
+{
+  const mono_ms now = read_clocks().mono;
+  detect_pause(now);
+  if (server_.expire(now)) {
+    publish_server();
+  }
+  if (peers_.expire(now)) {
+    publish_peers();
+  }
+  if (now >= next_beacon_at_) {
+    send_beacons(false);
+  }
+  join();
+  probe_server();
+  follow(follow_checked{});
+  if (is_ready() != was_ready_) {
+    was_ready_ = is_ready();
+    write_log(log_event::role_changed, { { "ready", was_ready_ ? "yes" : "no" } });
+  }
+  if (leaving_since_ != 0) {
+    check_left(now);
+  }
+}
+
+void
+proxy_node::detect_pause(mono_ms now)
+{
+  const mono_ms pause = now - last_tick_;
+  last_tick_ = now;
+  if (pause > PAUSE_MS) {
+    // Others were not silent; this process did not listen.
+    count(counter_id::pauses);
+    write_log(log_event::pause_detected, { { "ms", pause } });
+    peers_.excuse_silence(now);
+    server_.excuse_silence(now);
+    next_beacon_at_ = now;
+  }
+}
+
+void
+proxy_node::send_beacons(bool to_all)
+{
+  const mono_ms now = read_clocks().mono;
+  next_beacon_at_ = now + peers_.interval_ms();
+  ++beacon_round_;
+  ++self_.sequence;
+  self_.server = server_.notice();
+  self_.config_version = follower_.version();
+  self_.is_store_reachable = follower_.is_store_reachable();
+  self_.is_leaving = leaving_since_ != 0;
+  const load_report load = traffic_.load();
+  self_.running = load.running;
+  self_.waiting = load.waiting;
+  const std::string bytes = encode_beacon(self_);
+  for (const auto& [id, peer] : peers_.peers()) {
+    if (peer.is_alive || to_all || beacon_round_ % SILENT_PEER_ROUNDS == 0 ||
+        now - peer.added_at < PAUSE_MS) {
+      beacons_.writeDatagram(bytes.data(),
+                             static_cast<qint64>(bytes.size()),
+                             QHostAddress(QString::fromStdString(peer.beacon.host)),
+                             static_cast<std::uint16_t>(options_.peers_port + 1));
+    }
+  }
+}
+
+void
+proxy_node::read_beacons()
+{
+  bool has_changed = false;
+  bool has_newcomer = false;
+  while (beacons_.hasPendingDatagrams()) {
+    const QByteArray bytes = beacons_.receiveDatagram(BEACON_BYTES_MAX + 1).data();
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(beacon,
+                        parse_beacon({ bytes.data(), static_cast<std::size_t>(bytes.size()) }));
+        const auto known = peers_.peers().find(beacon.id);
+        const bool was_alive = known != peers_.peers().end() && known->second.is_alive &&
+                               known->second.beacon.boot == beacon.boot;
+        const beacon_effect effect = peers_.take(beacon, read_clocks().mono);
+        has_changed = has_changed || effect == beacon_effect::changed;
+        has_newcomer = has_newcomer || (effect == beacon_effect::changed && !was_alive);
+        if (effect == beacon_effect::changed) {
+          write_log(log_event::member_changed,
+                    { { "node", beacon.id },
+                      { "host", beacon.host },
+                      { "service", beacon.server.service },
+                      { "instance", beacon.server.instance },
+                      { "server", enum_name(beacon.server.state) },
+                      { "version", beacon.config_version },
+                      { "store", beacon.is_store_reachable ? "yes" : "no" },
+                      { "leaving", beacon.is_leaving ? "yes" : "no" } });
+        }
+        return {};
+      },
+      [&](const frame_error& error) {
+        count(counter_id::inputs_refused);
+        write_log(log_event::input_refused,
+                  { { "edge", "beacons" }, { "fault", enum_name(error.fault) } });
+      },
+      [&] { count(counter_id::inputs_refused); });
+  }
+  if (has_newcomer) {
+    send_beacons(false);
+  }
+  if (has_changed) {
+    publish_peers();
+    follow(follow_checked{});
+  }
+}
+
+void
+proxy_node::publish_peers()
+{
+  self_.server = server_.notice();
+  self_.is_leaving = leaving_since_ != 0;
+  auto view = std::make_shared<peer_view>(*peers_.view());
+  view->emplace(self_.id, self_);
+  traffic_.set_peers(std::move(view));
+}
+
+bool
+proxy_node::is_ready() const
+{
+  return table_ != nullptr && leaving_since_ == 0;
+}
+
+void
+proxy_node::leave()
+{
+  const mono_ms now = read_clocks().mono;
+  if (leaving_since_ != 0) {
+    write_log(log_event::draining, { { "state", "cut" }, { "open", traffic_.open_requests() } });
+    on_stopped();
+    return;
+  }
+  leaving_since_ = now;
+  write_log(log_event::draining, { { "state", "begun" }, { "open", traffic_.open_requests() } });
+  send_beacons(true);
+  publish_peers();
+}
+
+void
+proxy_node::check_left(mono_ms now)
+{
+  const mono_ms since = now - leaving_since_;
+  if (since >= DRAIN_AFTER_MS && !is_draining_) {
+    is_draining_ = true;
+    traffic_.start_draining();
+  }
+  const std::size_t open = traffic_.open_requests();
+  const bool is_over = since >= bounds_.grace_ms - LEAVE_MARGIN_MS;
+  if ((since >= LEAVE_AFTER_MS && open == 0) || is_over) {
+    ticks_.stop();
+    write_log(log_event::stopped, { { "node", options_.node_id }, { "cut", open } });
+    on_stopped();
+  }
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_node_base.h
@@ -0,0 +1,117 @@
+// The control thread of a proxy: what it believes of its peers, its server and the configuration.
+#pragma once
+#include "config_follower_base.h"
+#include "connection/connection.h"
+#include "listener_base.h"
+#include "platform/platform.h"
+#include "proxy_traffic_base.h"
+
+#include <QTimer>
+#include <QUdpSocket>
+#include <boost/leaf/result.hpp>
+
+namespace shallotfield {
+
+/** Owns the control state of a proxy and its traffic thread. Lives on the main thread. */
+class proxy_node
+{
+public:
+  std::function<void()> on_stopped; ///< The process may end.
+
+  /** @param options Settings. @param bounds The platform's bounds. */
+  proxy_node(proxy_settings options, const platform::fleet_bounds& bounds);
+  ~proxy_node();
+  proxy_node(const proxy_node&) = delete;
+  proxy_node& operator=(const proxy_node&) = delete;
+
+  /** Opens the ports. @return Nothing; or setting_error that names the setting of a port. */
+  boost::leaf::result<void> start();
+
+  /** Takes no new work, finishes what is open, then ends. */
+  void leave();
+
+  /** Takes over bounds that changed. @param bounds The platform's bounds. */
+  void set_bounds(const platform::fleet_bounds& bounds) { bounds_ = bounds; }
+
+private:
+  /** A transfer of a configuration from a peer. */
+  struct config_transfer_call
+  {
+    std::unique_ptr<framed_socket> socket; ///< Its connection.
+    QTimer timeout;                        ///< Ends it.
+    bool is_done = false;                  ///< It ended.
+  };
+
+  // proxy_node.cpp: ticks, beacons and leaving.
+  void tick();
+  void detect_pause(mono_ms now);
+  void send_beacons(bool to_all);
+  void read_beacons();
+  void publish_peers();
+  void check_left(mono_ms now);
+  bool is_ready() const;
+
+  // proxy_directory.cpp: finding peers through the store.
+  void join();
+  void read_directory(const std::string& after);
+  void take_directory(const platform::newest_page& page);
+  void add_to_directory();
+  void retry_directory();
+
+  // proxy_config.cpp: the configuration.
+  void follow(const follow_event& event);
+  void perform(const follow_effect& effect);
+  void take_newest(const platform::store_answer& answer);
+  void take_tail(const platform::store_answer& answer);
+  void apply(const apply_config& effect);
+  void fetch(const fetch_config& effect);
+  void end_fetch(std::uint64_t id, std::optional<std::string> text);
+  void accept_config_question(qintptr descriptor);
+
+  // proxy_announcements.cpp: the server beside the proxy, and the platform's questions.
+  void accept_announcements(qintptr descriptor);
+  void take_announcement(http_session& session, const whole_request& request);
+  void accept_readiness(qintptr descriptor);
+  void publish_server();
+  void probe_server();
+
+  /** Keeps HTTP sessions of the control thread until they end. */
+  http_session& keep_session(qintptr descriptor);
+
+  proxy_settings options_;        ///< Settings.
+  platform::fleet_bounds bounds_; ///< The platform's bounds.
+  node_beacon self_;              ///< This node, as its peers see it.
+  QObject context_;               ///< Owner of queued calls.
+  peer_table peers_;              ///< The peers.
+  server_watch server_;           ///< The server beside this proxy.
+  config_follower follower_;      ///< Keeps the configuration up to date.
+  route_table_ptr table_;         ///< In force.
+  std::string config_text_;       ///< The same as it stands in the store.
+  platform::store_client store_;  ///< The platform's store.
+  proxy_traffic traffic_;         ///< The traffic thread.
+  QUdpSocket beacons_;            ///< Carries beacons.
+  listener config_port_;          ///< Answers peers that ask for the configuration.
+  listener announcements_port_;   ///< The server announces itself here.
+  listener readiness_port_;       ///< The platform asks here.
+  QTimer ticks_;                  ///< Raises tick().
+  std::map<std::uint64_t, std::unique_ptr<http_session>> sessions_;      ///< Of the last two ports.
+  std::map<std::uint64_t, std::unique_ptr<framed_socket>> config_links_; ///< Peers that ask.
+  std::map<std::uint64_t, std::unique_ptr<config_transfer_call>> fetches_; ///< Asked peers.
+  std::unique_ptr<http_client> probe_; ///< Health check of a server not heard of yet.
+  std::uint64_t next_id_ = 1;          ///< Number of the next session or transfer.
+  mono_ms started_at_ = 0;             ///< Start of the process.
+  mono_ms last_tick_ = 0;              ///< When tick() ran last.
+  mono_ms next_beacon_at_ = 0;         ///< When to send beacons.
+  std::uint64_t beacon_round_ = 0;     ///< Counts them.
+  mono_ms next_probe_at_ = 0;          ///< When to look for the server.
+  mono_ms alone_since_ = 0;            ///< Since when no peer lives.
+  bool is_in_directory_ = false;       ///< This node's address stands there.
+  bool is_directory_read_ = false;     ///< It was read at least once.
+  bool is_calling_directory_ = false;  ///< A call for it is under way.
+  mono_ms next_directory_at_ = 0;      ///< When to try again.
+  mono_ms leaving_since_ = 0;          ///< When leave() was called; 0: not yet.
+  bool is_draining_ = false;           ///< Callers' connections are being closed.
+  bool was_ready_ = false;             ///< As told last.
+};
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_settings.cpp
@@ -0,0 +1,178 @@
+// Reads and checks the settings of a proxy.
+#include "proxy_settings.h"
+#include "settings_func.h"
+
+#include <boost/leaf/error.hpp>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace shallotfield {
+
+/** A setting that is text. */
+struct proxy_text_row
+{
+  std::string_view key;                ///< Name in the file.
+  std::string proxy_settings::*member; ///< Where the value is kept.
+};
+
+static constexpr std::array<proxy_text_row, 5> PROXY_TEXT_ROWS = { {
+  { "node_id", &proxy_settings::node_id },
+  { "region", &proxy_settings::region },
+  { "zone", &proxy_settings::zone },
+  { "host", &proxy_settings::host },
+  { "service", &proxy_settings::service },
+} };
+
+/** A setting that is an address. */
+struct proxy_address_row
+{
+  std::string_view key;             ///< Name in the file.
+  endpoint proxy_settings::*member; ///< Where the value is kept.
+};
+
+static constexpr std::array<proxy_address_row, 5> PROXY_ADDRESS_ROWS = { {
+  { "server_address", &proxy_settings::server_address },
+  { "callers_address", &proxy_settings::callers_address },
+  { "readiness_address", &proxy_settings::readiness_address },
+  { "announcements_address", &proxy_settings::announcements_address },
+  { "store_address", &proxy_settings::store_address },
+} };
+
+/** Largest port that leaves room for the next one. */
+static constexpr std::int64_t PEERS_PORT_MAX = 65534;
+
+/** Longest interval of announcements that is accepted, in seconds. */
+static constexpr double HEARTBEAT_S_MAX = 3600;
+
+static constexpr double MS_PER_S = 1000;
+
+/** Builds the error for a key. */
+static leaf::error_id
+refuse(std::string_view key, setting_fault fault)
+{
+  return leaf::new_error(setting_error{ std::string(key), fault });
+}
+
+/** Finds a setting that must be there. */
+static leaf::result<const json*>
+find_setting(const json& file, std::string_view key)
+{
+  const auto value = file.find(key);
+  if (value == file.end() || value->is_null()) {
+    return refuse(key, setting_fault::missing);
+  }
+  return &*value;
+}
+
+/** Fills the settings that are text or addresses. */
+static leaf::result<void>
+parse_texts(const json& file, proxy_settings& result)
+{
+  for (const proxy_text_row& row : PROXY_TEXT_ROWS) {
+    BOOST_LEAF_AUTO(value, find_setting(file, row.key));
+    if (!value->is_string()) {
+      return refuse(row.key, setting_fault::wrong_type);
+    }
+    result.*row.member = value->get<std::string>();
+    if ((result.*row.member).empty()) {
+      return refuse(row.key, setting_fault::bad_value);
+    }
+  }
+  for (const proxy_address_row& row : PROXY_ADDRESS_ROWS) {
+    BOOST_LEAF_AUTO(value, find_setting(file, row.key));
+    if (!value->is_string()) {
+      return refuse(row.key, setting_fault::wrong_type);
+    }
+    const std::optional<endpoint> address = parse_endpoint(value->get<std::string>());
+    if (!address) {
+      return refuse(row.key, setting_fault::bad_value);
+    }
+    result.*row.member = *address;
+  }
+  return {};
+}
+
+/** Fills the list of bounds: texts in a list, or in one text with commas between them. */
+static leaf::result<void>
+parse_bound_texts(const json& file, proxy_settings& result)
+{
+  const auto bounds = file.find("bounds");
+  if (bounds == file.end() || bounds->is_null()) {
+    return {};
+  }
+  if (bounds->is_string()) {
+    std::istringstream texts(bounds->get<std::string>());
+    for (std::string text; std::getline(texts, text, ',');) {
+      result.bounds.push_back(text);
+    }
+    return {};
+  }
+  if (!bounds->is_array()) {
+    return refuse("bounds", setting_fault::wrong_type);
+  }
+  for (const json& bound : *bounds) {
+    if (!bound.is_string()) {
+      return refuse("bounds", setting_fault::wrong_type);
+    }
+    result.bounds.push_back(bound.get<std::string>());
+  }
+  return {};
+}
+
+leaf::result<proxy_settings>
+parse_proxy_settings(std::string_view text)
+{
+  const json file = json::parse(text, nullptr, false);
+  if (!file.is_object()) {
+    return refuse("", setting_fault::not_json);
+  }
+  proxy_settings result;
+  BOOST_LEAF_CHECK(parse_texts(file, result));
+  if (!parse_endpoint(result.host + ":1")) {
+    return refuse("host", setting_fault::bad_value);
+  }
+  BOOST_LEAF_AUTO(port, find_setting(file, "peers_port"));
+  if (!port->is_number_integer()) {
+    return refuse("peers_port", setting_fault::wrong_type);
+  }
+  const auto port_number = port->get<std::int64_t>();
+  if (port_number < 1 || port_number > PEERS_PORT_MAX) {
+    return refuse("peers_port", setting_fault::out_of_range);
+  }
+  result.peers_port = static_cast<std::uint16_t>(port_number);
+  BOOST_LEAF_AUTO(heartbeat, find_setting(file, "server_heartbeat_s"));
+  if (!heartbeat->is_number()) {
+    return refuse("server_heartbeat_s", setting_fault::wrong_type);
+  }
+  const auto seconds = heartbeat->get<double>();
+  if (!(seconds > 0) || seconds > HEARTBEAT_S_MAX) {
+    return refuse("server_heartbeat_s", setting_fault::out_of_range);
+  }
+  result.server_heartbeat_ms = std::llround(seconds * MS_PER_S);
+  BOOST_LEAF_AUTO(first, find_setting(file, "is_first_start"));
+  if (!first->is_boolean()) {
+    return refuse("is_first_start", setting_fault::wrong_type);
+  }
+  result.is_first_start = first->get<bool>();
+  BOOST_LEAF_CHECK(parse_bound_texts(file, result));
+  return result;
+}
+
+leaf::result<proxy_settings>
+read_proxy_settings(const std::string& path)
+{
+  std::ifstream file(path);
+  if (!file) {
+    return refuse(path, setting_fault::unreadable);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_proxy_settings(text.str());
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_traffic.cpp
@@ -0,0 +1,195 @@
+// The traffic thread of a proxy: ports, and what the control thread tells it.
+#include "proxy_traffic_base.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+
+namespace shallotfield {
+
+/** Pause after a connection could not be accepted, for lack of descriptors for example. */
+static constexpr std::int64_t ACCEPT_PAUSE_MS = 50;
+
+proxy_traffic::proxy_traffic(const proxy_settings& options,
+                             retry_limits limits,
+                             const node_beacon& self)
+  : options_(options)
+  , work_(asio::make_work_guard(context_))
+  , callers_port_(context_)
+  , peers_port_(context_)
+  , timers_(context_)
+{
+  proxy_.self = self;
+  proxy_.view = std::make_shared<peer_view>(peer_view{ { self.id, self } });
+  proxy_.limits = limits;
+  proxy_.random.seed(self.boot);
+}
+
+proxy_traffic::~proxy_traffic()
+{
+  context_.stop();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+/** Opens a port. */
+static leaf::result<void>
+open_port(tcp::acceptor& port, const endpoint& at, std::string_view setting)
+{
+  boost::system::error_code error;
+  const tcp::endpoint address(asio::ip::make_address(at.host), at.port);
+  port.open(address.protocol(), error);
+  if (!error) {
+    port.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    port.bind(address, error);
+  }
+  if (!error) {
+    port.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return leaf::new_error(setting_error{ std::string(setting), setting_fault::bad_value });
+  }
+  write_log(log_event::listening,
+            { { "port", setting }, { "address", at.host }, { "number", at.port } });
+  return {};
+}
+
+leaf::result<void>
+proxy_traffic::start()
+{
+  BOOST_LEAF_CHECK(open_port(callers_port_, options_.callers_address, "callers_address"));
+  BOOST_LEAF_CHECK(open_port(peers_port_, { options_.host, options_.peers_port }, "peers_port"));
+  accept_callers();
+  accept_peers();
+  thread_ = std::thread([this] { context_.run(); });
+  return {};
+}
+
+void
+proxy_traffic::post(std::function<void()> work)
+{
+  asio::post(context_, std::move(work));
+}
+
+void
+proxy_traffic::accept_callers()
+{
+  callers_port_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      write_log(log_event::alarm, { { "what", "accept" }, { "error", error.message() } });
+      timers_.schedule(ACCEPT_PAUSE_MS, [this] { accept_callers(); });
+      return;
+    }
+    add_caller(std::move(socket));
+    accept_callers();
+  });
+}
+
+void
+proxy_traffic::accept_peers()
+{
+  peers_port_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      write_log(log_event::alarm, { { "what", "accept" }, { "error", error.message() } });
+      timers_.schedule(ACCEPT_PAUSE_MS, [this] { accept_peers(); });
+      return;
+    }
+    add_session(std::move(socket));
+    accept_peers();
+  });
+}
+
+void
+proxy_traffic::set_table(route_table_ptr table)
+{
+  post([this, table = std::move(table)] { table_ = table; });
+}
+
+void
+proxy_traffic::set_peers(peer_view_ptr view)
+{
+  post([this, view = std::move(view)] {
+    const mono_ms now = read_clocks().mono;
+    proxy_.view = view;
+    proxy_.sights.forget_absent(*view);
+    for (const auto& [id, node] : *view) {
+      if (id != options_.node_id) {
+        proxy_.sights.note_load(id, { node.running, node.waiting, node.server.slots }, now);
+      }
+    }
+    std::erase_if(links_, [&view](auto& item) {
+      const bool is_over = item.second.calls.empty() && !view->contains(item.second.node);
+      if (is_over) {
+        item.second.stream->abort();
+      }
+      return is_over;
+    });
+  });
+}
+
+void
+proxy_traffic::set_server(const server_notice& notice)
+{
+  post([this, notice] {
+    if (notice.instance != server_.instance) {
+      for (const idle_stream& item : idle_) {
+        item.stream->abort();
+      }
+      idle_.clear();
+    }
+    server_ = notice;
+    const bool takes_work =
+      notice.state == server_state::ready || notice.state == server_state::cold;
+    raise_slot(slot_server{ notice.slots, takes_work });
+  });
+}
+
+void
+proxy_traffic::start_draining()
+{
+  post([this] { drain(); });
+}
+
+void
+proxy_traffic::drain()
+{
+  is_draining_ = true;
+  std::vector<caller_stream_ptr> streams;
+  streams.reserve(callers_.size());
+  for (const auto& [id, item] : callers_) {
+    streams.push_back(item.stream);
+  }
+  for (const caller_stream_ptr& stream : streams) {
+    stream->close_when_idle();
+  }
+}
+
+void
+proxy_traffic::count_open()
+{
+  open_requests_ = exchanges_.size() + jobs_.size();
+  const load_report report = slots_.report();
+  running_ = report.running;
+  waiting_ = report.waiting;
+}
+
+load_report
+proxy_traffic::load() const
+{
+  return { running_.load(), waiting_.load(), 0 };
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/proxy_traffic_base.h
@@ -0,0 +1,209 @@
+// The traffic thread of a proxy: callers' connections, links to other proxies, and connections to
+// the backend server beside it.
+#pragma once
+#include "request/request.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
+#include <thread>
+
+namespace shallotfield {
+
+using exchange_id = std::uint64_t; ///< Number of a request that began at a proxy.
+using session_id = std::uint64_t;  ///< Number of a link that another proxy opened.
+
+/** An attempt at the server beside this proxy. */
+struct local_route
+{
+  slot_ticket ticket = 0; ///< Its number there.
+};
+
+/** An attempt at another proxy. */
+struct peer_route
+{
+  std::string link; ///< The link.
+  call_id call = 0; ///< Its number there.
+};
+
+using attempt_route = std::variant<local_route, peer_route>;
+
+/** A job that came from a request at this proxy. */
+struct local_origin
+{
+  exchange_id exchange = 0;   ///< The request.
+  attempt_number attempt = 0; ///< Its attempt.
+};
+
+/** A job that came from another proxy. */
+struct peer_origin
+{
+  session_id session = 0; ///< The link.
+  call_id call = 0;       ///< Its number there.
+};
+
+using job_origin = std::variant<local_origin, peer_origin>;
+
+/** Performs the effects of the requests that begin at this proxy, and of those that other proxies
+ * send to the server beside it. All but the public functions runs on its own thread. */
+class proxy_traffic
+{
+public:
+  std::function<void()> on_server_refused; ///< The server's port refused a connection; called on
+                                           ///< the traffic thread.
+
+  /** @param options Settings. @param limits The fleet's limits on repeats. @param self This node.
+   */
+  proxy_traffic(const proxy_settings& options, retry_limits limits, const node_beacon& self);
+  ~proxy_traffic();
+  proxy_traffic(const proxy_traffic&) = delete;
+  proxy_traffic& operator=(const proxy_traffic&) = delete;
+
+  /** Opens the ports and starts the thread. @return Nothing; or setting_error that names the port's
+   * setting. */
+  boost::leaf::result<void> start();
+
+  /** Swaps the configuration that new requests begin with. @param table The configuration. */
+  void set_table(route_table_ptr table);
+
+  /** Swaps the nodes. @param view Those that live, this one included. */
+  void set_peers(peer_view_ptr view);
+
+  /** Tells of the server beside this proxy. @param notice The server. */
+  void set_server(const server_notice& notice);
+
+  /** Closes callers' connections once their requests are answered. */
+  void start_draining();
+
+  /** @return Requests that are open here, of callers and of other proxies. */
+  std::size_t open_requests() const { return open_requests_.load(); }
+
+  /** @return State of the server's queue. */
+  load_report load() const;
+
+private:
+  using caller_id = std::uint64_t;
+
+  /** A request that began at this proxy. */
+  struct exchange
+  {
+    exchange_state state;              ///< Its course.
+    caller_id caller = 0;              ///< Its caller.
+    request_number number = 0;         ///< Its number on the caller's connection.
+    std::vector<attempt_route> routes; ///< Where each attempt is.
+    timer_queue::timer_id timeout;     ///< Ends it.
+  };
+
+  /** A caller's connection. */
+  struct caller
+  {
+    caller_stream_ptr stream;                        ///< The connection.
+    std::map<request_number, exchange_id> exchanges; ///< Open requests.
+    std::optional<timer_queue::timer_id> timeout;    ///< Ends a slow head or an idle connection.
+  };
+
+  /** A link to another proxy, opened here. */
+  struct peer_link
+  {
+    peer_stream_ptr stream; ///< The connection.
+    node_id node;           ///< The peer.
+    call_id next_call = 1;  ///< Number of the next call.
+    std::unordered_map<call_id, std::pair<exchange_id, attempt_number>> calls; ///< Under way.
+    bool is_watched = false; ///< A check is scheduled.
+    bool is_pinged = false;  ///< A ping is unanswered.
+  };
+
+  /** A link that another proxy opened. */
+  struct peer_session
+  {
+    peer_stream_ptr stream;                         ///< The connection.
+    std::unordered_map<call_id, slot_ticket> calls; ///< Under way.
+  };
+
+  /** A request for the server beside this proxy. */
+  struct server_job
+  {
+    job_origin origin;                            ///< Who asked.
+    call_open call;                               ///< The request.
+    std::string request_id;                       ///< As its caller sent it.
+    mono_ms deadline = 0;                         ///< When it has to be over.
+    server_stream_ptr stream;                     ///< Its connection, once it runs.
+    std::optional<timer_queue::timer_id> timeout; ///< Ends it.
+  };
+
+  /** An idle connection to the server. */
+  struct idle_stream
+  {
+    server_stream_ptr stream; ///< The connection.
+    mono_ms since = 0;        ///< When it became idle.
+  };
+
+  // proxy_traffic.cpp: ports and what the control thread tells.
+  void post(std::function<void()> work);
+  void accept_callers();
+  void accept_peers();
+  void count_open();
+  void drain();
+
+  // proxy_callers.cpp: callers and the course of their requests.
+  void add_caller(boost::asio::ip::tcp::socket&& socket);
+  void watch_caller(caller_id id);
+  void drop_caller(caller_id id);
+  void take_request(caller_id id, request_number number, whole_request&& request);
+  void raise(exchange_id id, const exchange_event& event);
+  void perform(exchange_id id, const exchange_effect& effect);
+  void send(exchange_id id, const send_attempt& effect);
+  void drop(exchange_id id, const drop_attempt& effect);
+  void end_exchange(exchange_id id);
+  void answer(exchange_id id, const response_head& head, std::string_view body);
+  call_open make_call(const exchange& from, const send_attempt& effect) const;
+
+  // proxy_links.cpp: links between proxies.
+  peer_link& link_to(const node_id& node, request_kind kind);
+  void take_link_message(const std::string& name, traffic_message&& message);
+  void end_link(const std::string& name, stream_end why);
+  void watch_link(const std::string& name);
+  void check_link(const std::string& name);
+  void add_session(boost::asio::ip::tcp::socket&& socket);
+  void take_session_message(session_id id, traffic_message&& message);
+  void end_session(session_id id);
+
+  // proxy_server.cpp: the server beside this proxy.
+  slot_ticket add_job(const job_origin& origin, call_open&& call);
+  void raise_slot(const slot_event& event);
+  void start_job(slot_ticket id);
+  void take_answer(slot_ticket id, server_answer&& answer, bool is_kept);
+  void take_server_failure(slot_ticket id, client_failure why);
+  void refuse_job(slot_ticket id, refusal reason, outcome result, std::int64_t retry_after_ms);
+  void cancel_job(slot_ticket id);
+  void expire_job(slot_ticket id);
+  void end_job(slot_ticket id);
+  server_stream_ptr take_stream(bool is_repeatable);
+  void keep_stream(server_stream_ptr stream);
+
+  proxy_settings options_;               ///< Settings.
+  boost::asio::io_context context_{ 1 }; ///< The event loop.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_; ///< Keeps it.
+  boost::asio::ip::tcp::acceptor callers_port_;           ///< Accepts callers.
+  boost::asio::ip::tcp::acceptor peers_port_;             ///< Accepts links.
+  timer_queue timers_;                                    ///< Timeouts.
+  proxy_state proxy_;                                     ///< What requests share.
+  route_table_ptr table_;                                 ///< What new requests begin with.
+  std::unordered_map<caller_id, caller> callers_;         ///< Callers' connections.
+  std::unordered_map<exchange_id, exchange> exchanges_;   ///< Requests that began here.
+  std::map<std::string, peer_link> links_;                ///< By node and lane.
+  std::unordered_map<session_id, peer_session> sessions_; ///< Links that others opened.
+  std::unordered_map<slot_ticket, server_job> jobs_;      ///< Requests for the server.
+  slot_queue slots_;                                      ///< Who gets a slot of it.
+  server_notice server_;                                  ///< The server.
+  std::vector<idle_stream> idle_;                         ///< Idle connections to it; latest last.
+  std::uint64_t next_id_ = 1;                   ///< Number of the next caller, request or job.
+  bool is_draining_ = false;                    ///< The process is about to end.
+  std::atomic<std::size_t> open_requests_{ 0 }; ///< For the control thread.
+  std::atomic<std::uint32_t> running_{ 0 };     ///< For the control thread.
+  std::atomic<std::uint32_t> waiting_{ 0 };     ///< For the control thread.
+  std::thread thread_;                          ///< The thread; last, so that it ends first.
+};
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/server_watch.cpp
@@ -0,0 +1,87 @@
+// Keeps the state of the backend server beside a node.
+#include "server_watch_base.h"
+
+namespace shallotfield {
+
+heartbeat_effect
+server_watch::take(const server_heartbeat& from, mono_ms now)
+{
+  if (from.address != address_) {
+    return heartbeat_effect::ignored;
+  }
+  const bool is_known = !notice_.instance.empty();
+  const bool is_same_id = from.instance == notice_.instance;
+  const bool is_older = born_ && (!from.born || *from.born < *born_);
+  if (is_known && is_older) {
+    return heartbeat_effect::ignored;
+  }
+  const bool is_same_process = is_known && is_same_id && (!born_ || from.born == born_);
+  if (is_same_process && from.sequence <= sequence_ && sequence_ != 0) {
+    return heartbeat_effect::ignored;
+  }
+  if (!is_same_process) {
+    has_left_ = false;
+  }
+  has_left_ = has_left_ || from.state == server_state::draining;
+  server_state state = has_left_ ? server_state::draining : server_state::ready;
+  if (!has_left_ && from.cold_ms > 0) {
+    state = server_state::cold;
+  }
+  const server_notice next{ from.service, from.instance, from.slots, state };
+  const bool has_changed = !is_same_process || next != notice_;
+  notice_ = next;
+  born_ = from.born;
+  sequence_ = from.sequence;
+  heard_at_ = now;
+  return has_changed ? heartbeat_effect::changed : heartbeat_effect::refreshed;
+}
+
+bool
+server_watch::leave(const std::string& instance)
+{
+  if (instance != notice_.instance || has_left_) {
+    return false;
+  }
+  has_left_ = true;
+  notice_.state = server_state::draining;
+  return true;
+}
+
+bool
+server_watch::take_probe(const std::string& instance,
+                         const service_id& service,
+                         std::uint32_t slots,
+                         mono_ms now)
+{
+  if (!notice_.instance.empty() || instance.empty()) {
+    return false;
+  }
+  notice_ = { service, instance, slots, server_state::ready };
+  heard_at_ = now;
+  return true;
+}
+
+bool
+server_watch::note_refused()
+{
+  if (notice_.state == server_state::none || notice_.state == server_state::draining) {
+    return false;
+  }
+  // The next heartbeat, of this incarnation or a new one, brings it back.
+  notice_.state = server_state::none;
+  return true;
+}
+
+bool
+server_watch::expire(mono_ms now)
+{
+  const bool is_usable =
+    notice_.state == server_state::ready || notice_.state == server_state::cold;
+  if (!is_usable || now - heard_at_ <= silence_ms_) {
+    return false;
+  }
+  notice_.state = server_state::none;
+  return true;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/process/server_watch_base.h
@@ -0,0 +1,102 @@
+// The backend server beside a node, by what it announces and by what requests to it show.
+#pragma once
+#include "beacon_type.h"
+
+#include <optional>
+
+namespace shallotfield {
+
+/** What a backend server announces about itself. */
+struct server_heartbeat
+{
+  std::string instance;                     ///< Id of this incarnation; may be used again later.
+  service_id service;                       ///< The service that it runs.
+  endpoint address;                         ///< Where it listens.
+  server_state state = server_state::ready; ///< cold, ready or draining.
+  std::uint32_t slots = 0;                  ///< Requests that it runs at once.
+  std::int64_t cold_ms = 0;                 ///< How much longer it is slow after its start.
+  std::optional<unix_ms> born;              ///< When this incarnation started, by its own clock.
+  std::uint64_t sequence = 0;               ///< Grows with each heartbeat of one incarnation.
+};
+
+/** What a heartbeat changed. */
+enum class heartbeat_effect
+{
+  ignored,   ///< Late, or from a server that isn't the one beside this node.
+  refreshed, ///< The server still lives.
+  changed,   ///< Its incarnation, state or slots changed.
+};
+
+inline constexpr enum_table<heartbeat_effect, 3> HEARTBEAT_EFFECT_ROWS = { {
+  { heartbeat_effect::ignored, "ignored" },
+  { heartbeat_effect::refreshed, "refreshed" },
+  { heartbeat_effect::changed, "changed" },
+} };
+static_assert(is_complete(HEARTBEAT_EFFECT_ROWS, heartbeat_effect::changed));
+
+/** @return The name table of heartbeat effects. */
+constexpr const auto&
+enum_rows(heartbeat_effect)
+{
+  return HEARTBEAT_EFFECT_ROWS;
+}
+
+/**
+ * Keeps the state of the one server that a node passes requests to. Once an incarnation said that
+ * it leaves, nothing makes it take work again.
+ */
+class server_watch
+{
+public:
+  /**
+   * @param address Where the server beside this node listens.
+   * @param silence_ms Silence after which the server counts as gone.
+   */
+  server_watch(endpoint address, std::int64_t silence_ms)
+    : address_(std::move(address))
+    , silence_ms_(silence_ms)
+  {
+  }
+
+  /** Takes a heartbeat. @param from The heartbeat. @param now Current time. @return Its effect. */
+  heartbeat_effect take(const server_heartbeat& from, mono_ms now);
+
+  /** Takes the word of an incarnation that it leaves. @return Whether it is the current one. */
+  bool leave(const std::string& instance);
+
+  /**
+   * Takes what a health check showed, if no heartbeat was heard yet.
+   * @param instance Id of the server that answered.
+   * @param service The service that the settings name.
+   * @param slots Slots to assume.
+   * @param now Current time.
+   * @return Whether anything changed.
+   */
+  bool take_probe(const std::string& instance,
+                  const service_id& service,
+                  std::uint32_t slots,
+                  mono_ms now);
+
+  /** The server's port refuses connections. @return Whether anything changed. */
+  bool note_refused();
+
+  /** Looks for silence. @param now Current time. @return Whether anything changed. */
+  bool expire(mono_ms now);
+
+  /** Forgets silence that passed while this process did not run. @param now Current time. */
+  void excuse_silence(mono_ms now) { heard_at_ = now; }
+
+  /** @return What peers are told. */
+  const server_notice& notice() const { return notice_; }
+
+private:
+  endpoint address_;            ///< Where the server listens.
+  std::int64_t silence_ms_;     ///< Silence after which it counts as gone.
+  server_notice notice_;        ///< What peers are told.
+  std::optional<unix_ms> born_; ///< Start of the current incarnation.
+  std::uint64_t sequence_ = 0;  ///< Of the latest heartbeat.
+  mono_ms heard_at_ = 0;        ///< When it arrived.
+  bool has_left_ = false;       ///< The current incarnation said that it leaves.
+};
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/exchange_policy.cpp
@@ -0,0 +1,329 @@
+// The course of one request at the proxy where its caller is connected.
+#include "exchange_policy.h"
+
+#include <cmath>
+
+namespace shallotfield {
+
+/** Nodes that may turn a request away before the caller is told to come again: each costs the time
+ * of a round trip. */
+static constexpr std::size_t REFUSED_SENDS_MAX = 3;
+
+/** Time left under which sending to another server can't lead to an answer in time. */
+static constexpr mono_ms LEAST_TIME_MS = 20;
+
+/** Wait that a caller is asked for if no node named one. */
+static constexpr std::int64_t RETRY_AFTER_DEFAULT_MS = 200;
+
+static constexpr unsigned STATUS_NOT_FOUND = 404;
+static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
+static constexpr unsigned STATUS_BAD_GATEWAY = 502;
+static constexpr unsigned STATUS_UNAVAILABLE = 503;
+static constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
+
+namespace {
+
+/** Handles the events of one request; gathers the effects. */
+class exchange_handler
+{
+public:
+  exchange_handler(exchange_state& call, proxy_state& proxy, mono_ms now)
+    : call_(call)
+    , proxy_(proxy)
+    , now_(now)
+  {
+  }
+
+  void operator()(const exchange_started& event);
+  void operator()(const attempt_answered& event);
+  void operator()(const attempt_failed& event);
+  void operator()(const exchange_expired& event);
+  void operator()(const caller_left& event);
+
+  /** @return The effects, in order. */
+  std::vector<exchange_effect> take_effects() { return std::move(effects_); }
+
+private:
+  /** Chooses a service by the rule's weights. */
+  service_id choose_service();
+  /** Sends the request to one more server. @return Whether there was one. */
+  bool try_server();
+  /** Whether the request may go to another server after an attempt that may have run. */
+  bool may_repeat();
+  /** Ends an attempt in the eyes of the proxy. */
+  void close(attempt_number attempt);
+  /** Whether an attempt is open. */
+  bool is_open(attempt_number attempt) const
+  {
+    return !call_.is_done && attempt < call_.attempts.size() && call_.attempts[attempt].is_open;
+  }
+  /** Answers in the server's place and ends the request. */
+  void refuse(unsigned status, refusal reason, std::int64_t retry_after_ms);
+  /** Ends the request that no server could take. */
+  void give_up(refusal reason);
+  /** Logs the outcome and marks the request as over. */
+  void finish(std::string_view result, std::string_view reason, unsigned status);
+
+  exchange_state& call_;                 ///< The request.
+  proxy_state& proxy_;                   ///< What the proxy's requests share.
+  mono_ms now_;                          ///< Current time.
+  std::vector<exchange_effect> effects_; ///< What to do.
+};
+
+void
+exchange_handler::operator()(const exchange_started& /*event*/)
+{
+  call_.started_at = now_;
+  if (!call_.table) {
+    refuse(STATUS_UNAVAILABLE, refusal::stale, RETRY_AFTER_DEFAULT_MS);
+    return;
+  }
+  const std::string* host = find_header(call_.head.headers, "Host");
+  call_.rule = call_.table->find(host == nullptr ? "" : *host, call_.head.target);
+  if (call_.rule == nullptr) {
+    refuse(STATUS_NOT_FOUND, refusal::no_route, 0);
+    return;
+  }
+  const std::int64_t wait =
+    std::min(call_.rule->timeout_ms, call_.wait_ms.value_or(call_.rule->timeout_ms));
+  call_.deadline = now_ + wait;
+  call_.service = choose_service();
+  proxy_.allowances[call_.service].note_request(now_);
+  if (!try_server()) {
+    give_up(refusal::no_server);
+  }
+}
+
+service_id
+exchange_handler::choose_service()
+{
+  const auto& targets = call_.rule->targets;
+  if (targets.size() == 1) {
+    return targets.front().service;
+  }
+  // The part that is furthest behind its share gets the request, so the shares hold over few
+  // requests already.
+  std::vector<double>& debts = proxy_.split_debts[call_.rule->name];
+  if (debts.size() != targets.size()) {
+    debts.assign(targets.size(), 0);
+    std::uniform_real_distribution<double> start(0, 1);
+    std::generate(debts.begin(), debts.end(), [&] { return start(proxy_.random); });
+  }
+  double total = 0;
+  for (const weighted_service& target : targets) {
+    total += static_cast<double>(target.weight);
+  }
+  std::size_t chosen = 0;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    debts[i] += total > 0 ? static_cast<double>(targets[i].weight) / total : 0;
+    if (targets[chosen].weight == 0 || (targets[i].weight > 0 && debts[i] > debts[chosen])) {
+      chosen = i;
+    }
+  }
+  debts[chosen] -= 1;
+  return targets[chosen].service;
+}
+
+bool
+exchange_handler::try_server()
+{
+  choice_request request{ call_.service, call_.rule->kind, {} };
+  for (const exchange_attempt& attempt : call_.attempts) {
+    request.excluded.insert(attempt.node);
+  }
+  const std::optional<server_choice> choice =
+    choose_server(*proxy_.view, proxy_.self, proxy_.sights, request, now_, proxy_.random);
+  if (!choice) {
+    return false;
+  }
+  const attempt_number attempt = call_.attempts.size();
+  call_.attempts.push_back({ choice->node->id, now_, true, true });
+  proxy_.sights.note_sent(choice->node->id);
+  effects_.emplace_back(send_attempt{ attempt,
+                                      choice->node->id,
+                                      choice->node->server.instance,
+                                      call_.deadline - now_,
+                                      call_.arrivals > 0 });
+  return true;
+}
+
+void
+exchange_handler::close(attempt_number attempt)
+{
+  call_.attempts[attempt].is_open = false;
+  proxy_.sights.note_ended(call_.attempts[attempt].node);
+}
+
+bool
+exchange_handler::may_repeat()
+{
+  const auto attempts_max = static_cast<std::size_t>(call_.rule->attempts_max);
+  return is_idempotent(call_.rule->kind) && call_.arrivals < attempts_max &&
+         call_.deadline - now_ > LEAST_TIME_MS &&
+         proxy_.allowances[call_.service].take(proxy_.limits, proxy_.view->size(), now_);
+}
+
+void
+exchange_handler::operator()(const attempt_answered& event)
+{
+  if (!is_open(event.attempt)) {
+    return;
+  }
+  close(event.attempt);
+  ++call_.arrivals;
+  const node_id& node = call_.attempts[event.attempt].node;
+  const bool is_failure = event.head.status >= STATUS_INTERNAL_ERROR;
+  proxy_.sights.note_load(node, event.load, now_);
+  // A server that ends with the deadline did what it could.
+  proxy_.sights.note_result(node, is_failure && event.head.status != STATUS_GATEWAY_TIMEOUT, now_);
+  if (is_failure && event.head.status != STATUS_GATEWAY_TIMEOUT) {
+    call_.may_have_run = true;
+    if (may_repeat() && try_server()) {
+      return;
+    }
+  }
+  finish("answered", "server", event.head.status);
+  effects_.emplace_back(give_answer{ event.head, event.body });
+}
+
+void
+exchange_handler::operator()(const attempt_failed& event)
+{
+  if (!is_open(event.attempt)) {
+    return;
+  }
+  close(event.attempt);
+  const node_id& node = call_.attempts[event.attempt].node;
+  if (event.load) {
+    proxy_.sights.note_load(node, *event.load, now_);
+  }
+  const bool is_node_lost =
+    event.reason == refusal::link_lost || (event.reason == refusal::unreachable && !event.load);
+  if (is_node_lost) {
+    proxy_.sights.note_unreachable(node, now_);
+  }
+  const bool was_seen = event.result == outcome::unknown || event.reason == refusal::shed;
+  effects_.emplace_back(exchange_log{ log_event::retry,
+                                      { { "request", call_.request_id },
+                                        { "node", node },
+                                        { "attempt", event.attempt },
+                                        { "reason", enum_name(event.reason) },
+                                        { "outcome", enum_name(event.result) },
+                                        { "left_ms", call_.deadline - now_ } } });
+  if (!was_seen) {
+    call_.attempts[event.attempt].may_have_run = false;
+    ++call_.refused_sends;
+    const bool names_time = event.retry_after_ms > 0;
+    if (names_time && (call_.retry_after_ms == 0 || event.retry_after_ms < call_.retry_after_ms)) {
+      call_.retry_after_ms = event.retry_after_ms;
+    }
+    const bool may_try = call_.refused_sends < REFUSED_SENDS_MAX &&
+                         event.reason != refusal::too_late && call_.deadline - now_ > LEAST_TIME_MS;
+    if (!may_try || !try_server()) {
+      give_up(event.reason);
+    }
+    return;
+  }
+  ++call_.arrivals;
+  proxy_.sights.note_result(node, true, now_);
+  if (event.result == outcome::unknown) {
+    call_.may_have_run = true;
+  } else {
+    call_.attempts[event.attempt].may_have_run = false;
+  }
+  const bool is_safe_to_send = event.result == outcome::not_run || is_idempotent(call_.rule->kind);
+  const auto attempts_max = static_cast<std::size_t>(call_.rule->attempts_max);
+  const bool may_try =
+    is_safe_to_send && call_.arrivals < attempts_max && call_.deadline - now_ > LEAST_TIME_MS &&
+    proxy_.allowances[call_.service].take(proxy_.limits, proxy_.view->size(), now_);
+  if (!may_try || !try_server()) {
+    give_up(event.reason);
+  }
+}
+
+void
+exchange_handler::give_up(refusal reason)
+{
+  if (call_.may_have_run) {
+    refuse(STATUS_BAD_GATEWAY, reason, 0);
+    return;
+  }
+  const std::int64_t wait =
+    call_.retry_after_ms > 0 ? call_.retry_after_ms : RETRY_AFTER_DEFAULT_MS;
+  refuse(STATUS_UNAVAILABLE, reason, wait);
+}
+
+void
+exchange_handler::operator()(const exchange_expired& /*event*/)
+{
+  if (call_.is_done) {
+    return;
+  }
+  for (attempt_number i = 0; i < call_.attempts.size(); ++i) {
+    if (call_.attempts[i].is_open) {
+      effects_.emplace_back(drop_attempt{ i });
+      close(i);
+    }
+  }
+  refuse(STATUS_GATEWAY_TIMEOUT, refusal::timed_out, 0);
+}
+
+void
+exchange_handler::operator()(const caller_left& /*event*/)
+{
+  if (call_.is_done) {
+    return;
+  }
+  for (attempt_number i = 0; i < call_.attempts.size(); ++i) {
+    if (call_.attempts[i].is_open) {
+      effects_.emplace_back(drop_attempt{ i });
+      close(i);
+    }
+  }
+  finish("cancelled", "caller_left", 0);
+}
+
+void
+exchange_handler::refuse(unsigned status, refusal reason, std::int64_t retry_after_ms)
+{
+  finish("refused", enum_name(reason), status);
+  effects_.emplace_back(give_refusal{ status, reason, retry_after_ms });
+}
+
+void
+exchange_handler::finish(std::string_view result, std::string_view reason, unsigned status)
+{
+  call_.is_done = true;
+  std::vector<log_field> fields = { { "request", call_.request_id },
+                                    { "result", result },
+                                    { "status", status },
+                                    { "reason", reason },
+                                    { "ms", now_ - call_.started_at },
+                                    { "attempts", call_.attempts.size() } };
+  if (call_.table) {
+    fields.push_back({ "version", call_.table->version() });
+  }
+  if (call_.rule != nullptr) {
+    fields.push_back({ "rule", call_.rule->name });
+    fields.push_back({ "service", call_.service });
+  }
+  if (!call_.attempts.empty()) {
+    fields.push_back({ "node", call_.attempts.back().node });
+  }
+  effects_.emplace_back(exchange_log{ log_event::request_done, std::move(fields) });
+}
+
+} // namespace
+
+std::vector<exchange_effect>
+handle_exchange_event(exchange_state& call,
+                      const exchange_event& event,
+                      proxy_state& proxy,
+                      mono_ms now)
+{
+  exchange_handler handler(call, proxy, now);
+  std::visit(handler, event);
+  return handler.take_effects();
+}
+
+} // namespace shallotfield
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -2,9 +2,13 @@
 #pragma once
 #include "admission_policy.h"    // IWYU pragma: export
 #include "call_policy.h"         // IWYU pragma: export
+#include "exchange_policy.h"     // IWYU pragma: export
 #include "key_book.h"            // IWYU pragma: export
 #include "key_policy.h"          // IWYU pragma: export
 #include "pick_policy.h"         // IWYU pragma: export
+#include "retry_allowance.h"     // IWYU pragma: export
 #include "retry_policy.h"        // IWYU pragma: export
 #include "route_policy.h"        // IWYU pragma: export
+#include "server_choice.h"       // IWYU pragma: export
+#include "slot_policy.h"         // IWYU pragma: export
 #include "table/refusal_table.h" // IWYU pragma: export
--- /dev/null
+++ b/src/request/server_choice.cpp
@@ -0,0 +1,176 @@
+// Chooses a backend server by distance and load.
+#include "server_choice.h"
+
+#include <cmath>
+
+namespace shallotfield {
+
+/** Age at which a load report says nothing any more; beacons bring one about every half second. */
+static constexpr double REPORT_LIFETIME_MS = 2000;
+
+/** Weight of the latest result in the share of failures: about the last eight count. */
+static constexpr double FAILURE_WEIGHT = 0.12;
+
+/** Half of the failures are forgotten in this time, so that a server is tried again. */
+static constexpr double FAILURE_HALF_LIFE_MS = 2000;
+
+/** How much a server that fails all requests counts as loaded: more than any queue allows. */
+static constexpr double FAILURE_PENALTY = 4;
+
+/** Time for which a node that can't be reached isn't tried. */
+static constexpr mono_ms AVOID_MS = 1000;
+
+/** How much a cold server counts as loaded: it works at about half of its speed. */
+static constexpr double COLD_PENALTY = 0.4;
+
+/** Random part of a score: spreads the choices of many proxies over servers that look alike. */
+static constexpr double SCORE_JITTER = 0.05;
+
+/** What the distance counts, in units of a server's load. */
+struct distance_cost
+{
+  server_distance distance; ///< The distance.
+  double small_answers;     ///< For requests with small answers.
+  double downloads;         ///< For downloads: their bytes fill the links between zones.
+};
+
+static constexpr std::array<distance_cost, 4> DISTANCE_COSTS = { {
+  { server_distance::same_node, 0, 0 },
+  { server_distance::same_zone, 0, 0 },
+  { server_distance::same_region, 0.25, 1.0 },
+  { server_distance::far, 0.5, 2.0 },
+} };
+
+void
+server_sights::note_sent(const node_id& node)
+{
+  server_sight& sight = sights_[node];
+  ++sight.in_flight;
+  ++sight.sent_since;
+}
+
+void
+server_sights::note_ended(const node_id& node)
+{
+  server_sight& sight = sights_[node];
+  if (sight.in_flight > 0) {
+    --sight.in_flight;
+  }
+}
+
+void
+server_sights::note_load(const node_id& node, const load_report& load, mono_ms now)
+{
+  server_sight& sight = sights_[node];
+  sight.load = load;
+  sight.load_at = now;
+  sight.sent_since = 0;
+}
+
+void
+server_sights::note_result(const node_id& node, bool is_failure, mono_ms now)
+{
+  server_sight& sight = sights_[node];
+  sight.failure_share += FAILURE_WEIGHT * ((is_failure ? 1.0 : 0.0) - sight.failure_share);
+  if (is_failure) {
+    sight.failed_at = now;
+  }
+}
+
+void
+server_sights::note_unreachable(const node_id& node, mono_ms now)
+{
+  sights_[node].avoid_until = now + AVOID_MS;
+}
+
+const server_sight&
+server_sights::at(const node_id& node) const
+{
+  static const server_sight NOTHING_SEEN;
+  const auto found = sights_.find(node);
+  return found == sights_.end() ? NOTHING_SEEN : found->second;
+}
+
+void
+server_sights::forget_absent(const peer_view& view)
+{
+  std::erase_if(sights_, [&view](const auto& item) {
+    return item.second.in_flight == 0 && !view.contains(item.first);
+  });
+}
+
+/** How far a node is. */
+static server_distance
+distance_of(const node_beacon& node, const node_beacon& self)
+{
+  if (node.id == self.id) {
+    return server_distance::same_node;
+  }
+  if (node.zone == self.zone) {
+    return server_distance::same_zone;
+  }
+  return node.region == self.region ? server_distance::same_region : server_distance::far;
+}
+
+/** Expected load of a server, as a share of its slots. */
+static double
+expected_load(const node_beacon& node, const server_sight& sight, mono_ms now)
+{
+  const double slots = std::max(1U, node.server.slots);
+  const double age = static_cast<double>(now - sight.load_at);
+  const double trust = sight.load_at == 0 ? 0 : std::max(0.0, 1 - age / REPORT_LIFETIME_MS);
+  const double reported = sight.load.running + sight.load.waiting + sight.sent_since;
+  return std::max<double>(sight.in_flight, reported * trust) / slots;
+}
+
+/** The score of a server; less is better. */
+static double
+score_of(const node_beacon& node,
+         server_distance distance,
+         const server_sight& sight,
+         request_kind kind,
+         mono_ms now)
+{
+  const distance_cost& cost = DISTANCE_COSTS[static_cast<std::size_t>(distance)];
+  double score = expected_load(node, sight, now);
+  score += kind == request_kind::download ? cost.downloads : cost.small_answers;
+  if (node.server.state == server_state::cold) {
+    score += COLD_PENALTY;
+  }
+  const double age = static_cast<double>(now - sight.failed_at);
+  score += FAILURE_PENALTY * sight.failure_share * std::exp2(-age / FAILURE_HALF_LIFE_MS);
+  return score;
+}
+
+std::optional<server_choice>
+choose_server(const peer_view& view,
+              const node_beacon& self,
+              const server_sights& sights,
+              const choice_request& request,
+              mono_ms now,
+              random_source& random)
+{
+  std::optional<server_choice> best;
+  std::optional<server_choice> avoided;
+  std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
+  for (const auto& [id, node] : view) {
+    const bool takes_work =
+      node.server.state == server_state::ready || node.server.state == server_state::cold;
+    if (!takes_work || node.server.service != request.service || request.excluded.contains(id)) {
+      continue;
+    }
+    const server_sight& sight = sights.at(id);
+    const server_distance distance = distance_of(node, self);
+    const double score = score_of(node, distance, sight, request.kind, now) + jitter(random);
+    const server_choice choice{ &node, distance, score };
+    // A node that is leaving, or can't be reached, is better than none.
+    const bool is_doubtful = node.is_leaving || sight.avoid_until > now;
+    std::optional<server_choice>& place = is_doubtful ? avoided : best;
+    if (!place || score < place->score) {
+      place = choice;
+    }
+  }
+  return best ? best : avoided;
+}
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/server_choice.h
@@ -0,0 +1,107 @@
+// Which backend server a proxy sends a request to: near ones first, by what this proxy sees of them
+// and by what their nodes report. Answers the patterns of a zone that is full while others have
+// room, of servers of unequal speed, and of servers that fail a share of their requests.
+#pragma once
+#include "connection/connection.h"
+#include "pick_policy.h"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace shallotfield {
+
+/** What one proxy sees of a server. */
+struct server_sight
+{
+  std::uint32_t in_flight = 0;  ///< Requests of this proxy that are there.
+  load_report load;             ///< What the server's node reported last.
+  std::uint32_t sent_since = 0; ///< Requests sent since that report.
+  mono_ms load_at = 0;          ///< When the report arrived.
+  double failure_share = 0;     ///< Recent share of requests that failed there.
+  mono_ms failed_at = 0;        ///< When the latest failed.
+  mono_ms avoid_until = 0;      ///< The node couldn't be reached; not to be tried until then.
+};
+
+/** What one proxy sees of all servers. */
+class server_sights
+{
+public:
+  /** Notes that a request was sent. */
+  void note_sent(const node_id& node);
+  /** Notes that a request ended, in whatever way. */
+  void note_ended(const node_id& node);
+  /** Notes a report. */
+  void note_load(const node_id& node, const load_report& load, mono_ms now);
+  /** Notes whether the server answered properly. */
+  void note_result(const node_id& node, bool is_failure, mono_ms now);
+  /** Notes that the node can't be reached. */
+  void note_unreachable(const node_id& node, mono_ms now);
+  /** @return What is seen of a server. */
+  const server_sight& at(const node_id& node) const;
+  /** Forgets nodes that are gone. */
+  void forget_absent(const peer_view& view);
+
+private:
+  std::unordered_map<node_id, server_sight> sights_; ///< By node.
+};
+
+/** How far a server is from this proxy. */
+enum class server_distance
+{
+  same_node,   ///< Beside this proxy.
+  same_zone,   ///< In the same availability zone.
+  same_region, ///< In another zone of the region.
+  far,         ///< In another region.
+};
+
+inline constexpr enum_table<server_distance, 4> SERVER_DISTANCE_ROWS = { {
+  { server_distance::same_node, "same_node" },
+  { server_distance::same_zone, "same_zone" },
+  { server_distance::same_region, "same_region" },
+  { server_distance::far, "far" },
+} };
+static_assert(is_complete(SERVER_DISTANCE_ROWS, server_distance::far));
+
+/** @return The name table of distances. */
+constexpr const auto&
+enum_rows(server_distance)
+{
+  return SERVER_DISTANCE_ROWS;
+}
+
+/** What a request asks of a server. */
+struct choice_request
+{
+  service_id service;                           ///< The service.
+  request_kind kind = request_kind::idempotent; ///< Downloads cross zones last.
+  std::set<node_id> excluded;                   ///< Nodes that the request was at already.
+};
+
+/** A chosen server. */
+struct server_choice
+{
+  const node_beacon* node = nullptr;                     ///< Its node; lives as long as the view.
+  server_distance distance = server_distance::same_zone; ///< How far it is.
+  double score = 0;                                      ///< Its expected load; less is better.
+};
+
+/**
+ * Chooses a server.
+ * @param view The nodes that live, this one included.
+ * @param self This node.
+ * @param sights What this proxy sees of the servers.
+ * @param request What is asked for.
+ * @param now Current time.
+ * @param random Random numbers.
+ * @return The choice; or nothing if no server may take the request.
+ */
+std::optional<server_choice>
+choose_server(const peer_view& view,
+              const node_beacon& self,
+              const server_sights& sights,
+              const choice_request& request,
+              mono_ms now,
+              random_source& random);
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/request/slot_policy.h
@@ -0,0 +1,132 @@
+// Which requests run on the slots of the backend server, which wait, and which are refused. Answers
+// the pattern of a crest: more requests arrive for some seconds than the server can run.
+#pragma once
+#include "table/refusal_table.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace shallotfield {
+
+/** Number of a request beside the server; never used again in the process. */
+using slot_ticket = std::uint64_t;
+
+/** A request that asks for a slot. */
+struct slot_arrival
+{
+  slot_ticket id = 0;        ///< Number of the request.
+  std::string work;          ///< Kind of work, by which service times are learnt.
+  std::int64_t priority = 0; ///< Rank; 0 is the highest.
+  mono_ms objective_at = 0;  ///< Until when its answer is fully useful.
+  mono_ms deadline = 0;      ///< When it has to be over.
+};
+
+/** A request that left its slot. */
+struct slot_finished
+{
+  slot_ticket id = 0;     ///< Number of the request.
+  bool was_whole = false; ///< The server answered, so that its time says how long work takes.
+};
+
+/** A request whose answer is no longer wanted. */
+struct slot_cancelled
+{
+  slot_ticket id = 0; ///< Number of the request.
+};
+
+/** The server's slots changed, or whether it takes work. */
+struct slot_server
+{
+  std::uint32_t slots = 0; ///< Requests that it runs at once.
+  bool takes_work = false; ///< Whether new requests may go there.
+};
+
+/** Some time passed. */
+struct slot_timer
+{};
+
+using slot_event =
+  std::variant<slot_arrival, slot_finished, slot_cancelled, slot_server, slot_timer>;
+
+/** Send a request to the server now. */
+struct slot_start
+{
+  slot_ticket id = 0; ///< Number of the request.
+  bool operator==(const slot_start&) const = default;
+};
+
+/** Refuse a request; it has not run. */
+struct slot_refuse
+{
+  slot_ticket id = 0;                   ///< Number of the request.
+  refusal reason = refusal::queue_full; ///< Why.
+  std::int64_t retry_after_ms = 0;      ///< When a slot may be free.
+  bool operator==(const slot_refuse&) const = default;
+};
+
+using slot_effect = std::variant<slot_start, slot_refuse>;
+
+/**
+ * The slots of one server with a queue in front. The queue is ordered by priority, then by
+ * deadline, so the short calls of running requests, whose deadline is the nearest, go before new
+ * requests of their rank. A request is refused at once if its answer would come too late.
+ */
+class slot_queue
+{
+public:
+  /** Takes an event. @param event The event. @param now Current time. @return What to do. */
+  std::vector<slot_effect> handle(const slot_event& event, mono_ms now);
+
+  /** @return What callers' nodes are told. */
+  load_report report() const;
+
+  /** @return Requests that run or wait. */
+  std::size_t size() const { return running_.size() + waiting_.size(); }
+
+  /** @return Whether requests wait for a slot. */
+  bool has_waiting() const { return !queue_.empty(); }
+
+  /** @param work Kind of work. @return Expected time on a slot, in ms. */
+  double expected_ms(const std::string& work) const;
+
+private:
+  /** Order of the queue. */
+  using rank = std::tuple<std::int64_t, mono_ms, slot_ticket>;
+
+  /** A request on a slot. */
+  struct running_request
+  {
+    std::string work;       ///< Kind of work.
+    mono_ms started_at = 0; ///< When.
+  };
+
+  void on(const slot_arrival& event, mono_ms now);
+  void on(const slot_finished& event, mono_ms now);
+  void on(const slot_cancelled& event, mono_ms now);
+  void on(const slot_server& event, mono_ms now);
+  void on(const slot_timer& event, mono_ms now);
+  /** Starts what can start; refuses what is too late. */
+  void advance(mono_ms now);
+  /** Time until a slot is free for a request of this rank. */
+  double expected_wait_ms(const rank& place, mono_ms now) const;
+  void refuse(slot_ticket id, refusal reason, double retry_after_ms);
+  static rank rank_of(const slot_arrival& request)
+  {
+    return { request.priority, request.deadline, request.id };
+  }
+
+  std::uint32_t slots_ = 0;                        ///< Of the server.
+  bool takes_work_ = false;                        ///< Whether new requests may start.
+  std::map<slot_ticket, running_request> running_; ///< On slots.
+  std::map<slot_ticket, slot_arrival> waiting_;    ///< In the queue.
+  std::set<rank> queue_;                           ///< Order of the queue.
+  std::map<std::string, double> service_ms_;       ///< Average time on a slot, by kind of work.
+  double average_ms_ = 0;                          ///< The same over all kinds; 0: not known.
+  std::vector<slot_effect> effects_;               ///< Gathered by handle().
+};
+
+} // namespace shallotfield
--- /dev/null
+++ b/src/version/route_table.cpp
@@ -0,0 +1,55 @@
+// Finds the rule of a request by host and longest prefix.
+#include "route_table_type.h"
+
+namespace shallotfield {
+
+/** Cuts the port off a Host header and makes it lower case. */
+static std::string
+normalise_host(std::string_view host)
+{
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return name;
+}
+
+route_table::route_table(route_document from)
+  : document_(std::move(from))
+{
+  for (const route_rule& rule : document_.rules) {
+    by_host_[normalise_host(rule.host)].emplace(rule.prefix, &rule);
+  }
+  for (const service_rule& service : document_.services) {
+    by_service_.emplace(service.service, &service);
+  }
+}
+
+const route_rule*
+route_table::find(std::string_view host, std::string_view target) const
+{
+  const auto rules = by_host_.find(normalise_host(host));
+  if (rules == by_host_.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only the parts of the path that do can be one.
+  std::string part(target.substr(0, target.find_first_of("?#")));
+  for (auto slash = part.rfind('/'); slash != std::string::npos;) {
+    part.resize(slash + 1);
+    const auto found = rules->second.find(part);
+    if (found != rules->second.end()) {
+      return found->second;
+    }
+    slash = slash == 0 ? std::string::npos : part.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+const service_rule*
+route_table::find_service(const service_id& service) const
+{
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? nullptr : found->second;
+}
+
+} // namespace shallotfield
--- a/src/version/version.h
+++ b/src/version/version.h
@@ -6,3 +6,4 @@
 #include "ledger_base.h"           // IWYU pragma: export
 #include "record_codec.h"          // IWYU pragma: export
 #include "record_type.h"           // IWYU pragma: export
+#include "route_table_type.h"      // IWYU pragma: export
