End a proxy without cutting the requests that it took late

While more than half of a zone's proxies are out, callers go on sending to one that is shutting down; what it took up to the end of the grace period was cut. It now takes, after 3 s, only requests whose deadline lies before its end and refuses the others as not run; peers are told after 2 s instead of at once, so a server is out of reach for a shorter time. Ruled out: the server's end (its machine went on), lost cancellations.

--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -89,7 +89,11 @@
   added.state.head = std::move(request.head);
   added.state.body = std::move(request.body);
   added.state.table = table_;
-  callers_.at(id).exchanges[number] = exchange_number;
+  caller& owner = callers_.at(id);
+  owner.exchanges[number] = exchange_number;
+  if (proxy_.ends_at) {
+    owner.stream->close_when_idle();
+  }
   count_open();
   raise(exchange_number, exchange_started{});
   const auto found = exchanges_.find(exchange_number);
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -23,15 +23,22 @@
 /** Peers that don't live get every so many-th beacon. */
 static constexpr std::uint64_t SILENT_PEER_ROUNDS = 4;
 
+/** Time after which peers stop sending requests here. They are spared the loss of a server for as
+ * long as what they send can be answered before the end. */
+static constexpr mono_ms ANNOUNCE_AFTER_MS = 2000;
+
 /** Time after which callers' connections are closed: until then the platform has seen twice that
  * this proxy isn't ready, and sends nothing new. */
-static constexpr mono_ms DRAIN_AFTER_MS = 2500;
+static constexpr mono_ms DRAIN_AFTER_MS = 3000;
 
 /** Shortest time from the signal to the end of the process: late requests are still answered. */
 static constexpr mono_ms LEAVE_AFTER_MS = 3200;
 
 /** Time before the end of the grace period at which the process ends whatever is open. */
-static constexpr mono_ms LEAVE_MARGIN_MS = 300;
+static constexpr mono_ms LEAVE_MARGIN_MS = 500;
+
+/** Time for the last answers to reach their callers. */
+static constexpr mono_ms LAST_ANSWER_MS = 200;
 
 /** @return A number that no other process of the node has. */
 static std::uint64_t
@@ -172,7 +179,7 @@
   self_.server = server_.notice();
   self_.config_version = follower_.version();
   self_.is_store_reachable = follower_.is_store_reachable();
-  self_.is_leaving = leaving_since_ != 0;
+  self_.is_leaving = is_leave_announced_;
   const load_report load = traffic_.load();
   self_.running = load.running;
   self_.waiting = load.waiting;
@@ -238,7 +245,7 @@
 proxy_node::publish_peers()
 {
   self_.server = server_.notice();
-  self_.is_leaving = leaving_since_ != 0;
+  self_.is_leaving = is_leave_announced_;
   auto view = std::make_shared<peer_view>(*peers_.view());
   view->emplace(self_.id, self_);
   traffic_.set_peers(std::move(view));
@@ -261,17 +268,20 @@
   }
   leaving_since_ = now;
   write_log(log_event::draining, { { "state", "begun" }, { "open", traffic_.open_requests() } });
-  send_beacons(true);
-  publish_peers();
 }
 
 void
 proxy_node::check_left(mono_ms now)
 {
   const mono_ms since = now - leaving_since_;
+  if (since >= ANNOUNCE_AFTER_MS && !is_leave_announced_) {
+    is_leave_announced_ = true;
+    send_beacons(false);
+    publish_peers();
+  }
   if (since >= DRAIN_AFTER_MS && !is_draining_) {
     is_draining_ = true;
-    traffic_.start_draining();
+    traffic_.start_draining(leaving_since_ + bounds_.grace_ms - LEAVE_MARGIN_MS - LAST_ANSWER_MS);
   }
   const std::size_t open = traffic_.open_requests();
   const bool is_over = since >= bounds_.grace_ms - LEAVE_MARGIN_MS;
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -110,6 +110,7 @@
   bool is_calling_directory_ = false;  ///< A call for it is under way.
   mono_ms next_directory_at_ = 0;      ///< When to try again.
   mono_ms leaving_since_ = 0;          ///< When leave() was called; 0: not yet.
+  bool is_leave_announced_ = false;    ///< Peers were told that this process ends.
   bool is_draining_ = false;           ///< Callers' connections are being closed.
   bool was_ready_ = false;             ///< As told last.
 };
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -42,6 +42,10 @@
     refuse_job(id, refusal::no_server, outcome::not_run, 0);
     return id;
   }
+  if (proxy_.ends_at && job.deadline > *proxy_.ends_at) {
+    refuse_job(id, refusal::draining, outcome::not_run, 0);
+    return id;
+  }
   const slot_arrival arrival{
     id, job.call.work, job.call.priority, now + job.call.objective_ms, job.deadline
   };
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -158,15 +158,15 @@
 }
 
 void
-proxy_traffic::start_draining()
+proxy_traffic::start_draining(mono_ms ends_at)
 {
-  post([this] { drain(); });
+  post([this, ends_at] { drain(ends_at); });
 }
 
 void
-proxy_traffic::drain()
+proxy_traffic::drain(mono_ms ends_at)
 {
-  is_draining_ = true;
+  proxy_.ends_at = ends_at;
   std::vector<caller_stream_ptr> streams;
   streams.reserve(callers_.size());
   for (const auto& [id, item] : callers_) {
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -73,8 +73,9 @@
   /** Tells of the server beside this proxy. @param notice The server. */
   void set_server(const server_notice& notice);
 
-  /** Closes callers' connections once their requests are answered. */
-  void start_draining();
+  /** Closes callers' connections once their requests are answered, and takes only requests that are
+   * over before the end. @param ends_at When the process ends. */
+  void start_draining(mono_ms ends_at);
 
   /** @return Requests that are open here, of callers and of other proxies. */
   std::size_t open_requests() const { return open_requests_.load(); }
@@ -144,7 +145,7 @@
   void accept_callers();
   void accept_peers();
   void count_open();
-  void drain();
+  void drain(mono_ms ends_at);
 
   // proxy_callers.cpp: callers and the course of their requests.
   void add_caller(boost::asio::ip::tcp::socket&& socket);
@@ -199,7 +200,6 @@
   server_notice server_;                                  ///< The server.
   std::vector<idle_stream> idle_;                         ///< Idle connections to it; latest last.
   std::uint64_t next_id_ = 1;                   ///< Number of the next caller, request or job.
-  bool is_draining_ = false;                    ///< The process is about to end.
   std::atomic<std::size_t> open_requests_{ 0 }; ///< For the control thread.
   std::atomic<std::uint32_t> running_{ 0 };     ///< For the control thread.
   std::atomic<std::uint32_t> waiting_{ 0 };     ///< For the control thread.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -87,6 +87,10 @@
   const std::int64_t wait =
     std::min(call_.rule->timeout_ms, call_.wait_ms.value_or(call_.rule->timeout_ms));
   call_.deadline = now_ + wait;
+  if (proxy_.ends_at && call_.deadline > *proxy_.ends_at) {
+    refuse(STATUS_UNAVAILABLE, refusal::draining, RETRY_AFTER_DEFAULT_MS);
+    return;
+  }
   call_.service = choose_service();
   proxy_.allowances[call_.service].note_request(now_);
   if (!try_server()) {
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -86,9 +86,9 @@
 const server_sight&
 server_sights::at(const node_id& node) const
 {
-  static const server_sight NOTHING_SEEN;
+  static const server_sight nothing_seen;
   const auto found = sights_.find(node);
-  return found == sights_.end() ? NOTHING_SEEN : found->second;
+  return found == sights_.end() ? nothing_seen : found->second;
 }
 
 void
