Test what proxies decide, and take the first beacon of an unknown peer

Cause, found by the new test late_beacons_change_nothing: the first beacon of an unknown peer was stored as its address before it was compared, so it looked repeated and the peer became known only by its next beacon, half a second later. Ruled out: loss of datagrams (the test has none).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,10 +5,10 @@
 scripts/build.sh || exit 1
 failed=0
 
-mapfile -t sources < <(git ls-files 'src/*.h' 'src/*.cpp' 'standins/*' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' | grep -E '\.(h|cpp)$')
+mapfile -t sources < <(git ls-files 'src/*.h' 'src/*.cpp' 'platform/*' 'standins/*' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' | grep -E '\.(h|cpp)$')
 clang-format --dry-run --Werror "${sources[@]}" || { echo "format: failed"; failed=1; }
 
-mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep -E '^(src|standins|bench)/.*\.cpp$')
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep -E '^(src|platform|standins|bench)/.*\.cpp$')
 if ! printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null; then
   echo "lint: failed"
   failed=1
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -28,7 +28,10 @@
   auto [found, is_new] = peers_.try_emplace(address.id);
   peer_entry& peer = found->second;
   if (is_new) {
-    peer.beacon = address;
+    peer.beacon.id = address.id;
+    peer.beacon.region = address.region;
+    peer.beacon.zone = address.zone;
+    peer.beacon.host = address.host;
     peer.added_at = now;
   } else if (!peer.is_alive) {
     peer.beacon.host = address.host;
--- /dev/null
+++ b/tests/connection/proxy_codec_test.cpp
@@ -0,0 +1,67 @@
+// Tests of what proxies send to each other besides requests.
+#include "connection/connection.h"
+#include "fakes/expect.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace shallotfield;
+
+/** A beacon with all fields set. */
+static node_beacon
+make_beacon()
+{
+  return { "a", 1, 2, "west", "west-a", "10.0.0.1", { "shop", "i-1", 18, server_state::cold },
+           3,   4, 5, true,   true };
+}
+
+BOOST_AUTO_TEST_SUITE(proxy_codecs)
+
+BOOST_AUTO_TEST_CASE(a_beacon_survives_its_datagram)
+{
+  const auto read = value_of([] { return parse_beacon(encode_beacon(make_beacon())); });
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == make_beacon()));
+  BOOST_TEST(encode_beacon(make_beacon()).size() < BEACON_BYTES_MAX);
+}
+
+BOOST_AUTO_TEST_CASE(damaged_datagrams_are_refused_or_read_but_never_more)
+{
+  std::mt19937 random(20261204);
+  const std::string whole = encode_beacon(make_beacon());
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = whole.substr(0, random() % (whole.size() + 1));
+    for (int changes = static_cast<int>(random() % 4); changes > 0 && !bytes.empty(); --changes) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    const auto read = value_of([&] { return parse_beacon(bytes); });
+    BOOST_TEST((!read || !read->id.empty()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_address_survives_the_directory)
+{
+  const auto read = value_of([] { return parse_address("a", encode_address(make_beacon())); });
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->host == "10.0.0.1");
+  BOOST_TEST(!value_of([] { return parse_address("a", "{}"); }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_survives_its_transfer)
+{
+  const std::string text(300'000, 'x');
+  const std::string bytes = encode_config_transfer(config_copy{ 9, text });
+  BOOST_TEST(bytes.size() < text.size() / 10);
+  frame_decoder decoder({ 1024, CONFIG_BYTES_MAX });
+  std::vector<frame> frames;
+  BOOST_TEST(!decoder.feed(bytes, frames).has_value());
+  const auto read = value_of([&] { return parse_config_transfer(frames.at(0)); });
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(std::get<config_copy>(*read).text == text);
+  BOOST_TEST(std::get<config_copy>(*read).version == 9U);
+  frames.at(0).payload[0] = '\xff'; // Announces almost 4 GiB.
+  BOOST_TEST((error_of<frame_error>([&] { return parse_config_transfer(frames.at(0)); })->fault ==
+              frame_fault::too_large));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,274 @@
+// Tests of the platform's names and formats, with fault cases in tables.
+#include "fakes/expect.h"
+#include "platform/platform.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace shallotfield;
+using namespace shallotfield::platform;
+using nlohmann::json;
+
+/** A heartbeat as a server sends it. */
+static json
+heartbeat_body()
+{
+  return { { "service", "shop" },
+           { "address", "10.0.0.9:80" },
+           { "zone", "z" },
+           { "version", "v1" },
+           { "slots", 18 },
+           { "state", "ready" },
+           { "cold_remaining_s", 1.5 },
+           { "seq", 4 },
+           { "born", 1000 } };
+}
+
+static const request_head HEARTBEAT{ "POST", "/v1/instances/i-7/heartbeat", {} };
+
+BOOST_AUTO_TEST_SUITE(platform_announcements)
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read)
+{
+  const announcement read = parse_announcement(HEARTBEAT, heartbeat_body().dump());
+  const auto& heartbeat = std::get<server_heartbeat>(read);
+  BOOST_TEST(heartbeat.instance == "i-7");
+  BOOST_TEST(heartbeat.slots == 18U);
+  BOOST_TEST(heartbeat.cold_ms == 1500);
+  BOOST_TEST(heartbeat.born.value() == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(broken_heartbeats_name_no_server)
+{
+  const std::vector<std::pair<std::string, json>> rows = {
+    { "service", nullptr },   { "service", 3 },
+    { "address", "nowhere" }, { "slots", -1 },
+    { "slots", 0 },           { "slots", "18" },
+    { "state", "sleeping" },  { "state", nullptr },
+    { "seq", 1.5 },           { "cold_remaining_s", -1 },
+    { "born", 1.5 },          { "born", "x" },
+  };
+  for (const auto& [key, value] : rows) {
+    json body = heartbeat_body();
+    body[key] = value;
+    const announcement read = parse_announcement(HEARTBEAT, body.dump());
+    BOOST_TEST((std::get<announcement_fault>(read) == announcement_fault::bad_field), key);
+    body.erase(key);
+    if (key != "born" && key != "cold_remaining_s") {
+      BOOST_TEST(
+        std::holds_alternative<announcement_fault>(parse_announcement(HEARTBEAT, body.dump())),
+        key);
+    }
+  }
+  for (const std::string body : { "", "[]", "{", "\xff\xfe" }) {
+    BOOST_TEST((std::get<announcement_fault>(parse_announcement(HEARTBEAT, body)) ==
+                announcement_fault::not_json));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(departures_and_unknown_calls)
+{
+  BOOST_TEST(std::get<server_departure>(
+               parse_announcement({ "POST", "/v1/instances/i-7/deregister", {} }, ""))
+               .instance == "i-7");
+  for (const std::string target : { "/v1/instances//heartbeat", "/v1/instances/i-7", "/x" }) {
+    BOOST_TEST((std::get<announcement_fault>(parse_announcement({ "POST", target, {} }, "{}")) ==
+                announcement_fault::unknown_call));
+  }
+  BOOST_TEST(is_readiness_question({ "GET", "/v1/ready", {} }));
+  BOOST_TEST(!is_readiness_question({ "GET", "/v1/readyish", {} }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(platform_requests)
+
+BOOST_AUTO_TEST_CASE(what_a_server_is_told_replaces_what_the_caller_sent)
+{
+  request_head head{ "GET",
+                     "/",
+                     { { "X-Shallotfield-Request-Id", "r1" },
+                       { "x-shallotfield-deadline-ms", "2000" },
+                       { "X-Shallotfield-Caller-Service", "forged" } } };
+  const caller_fields fields = read_caller_fields(head);
+  BOOST_TEST(fields.request_id == "r1");
+  BOOST_TEST(fields.wait_ms.value() == 2000);
+  write_server_fields(head, { 700, "i-7", "shop" });
+  BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Deadline-Ms") == "700");
+  BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Caller-Service") == "shop");
+  BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Expected-Instance") == "i-7");
+  BOOST_TEST(head.headers.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_classified)
+{
+  const http_header id{ "X-Shallotfield-Request-Id", "r1" };
+  const http_header other{ "X-Shallotfield-Request-Id", "r2" };
+  const http_header signature{ "X-Shallotfield-Response-Signature", "s" };
+  const http_header refused{ "X-Shallotfield-Not-Executed", "1" };
+  struct row
+  {
+    response_head head;
+    answer_verdict verdict;
+  };
+  const std::vector<row> rows = {
+    { { 200, { id, signature } }, answer_verdict::proper },
+    { { 500, { id } }, answer_verdict::proper },
+    { { 200, { other, signature } }, answer_verdict::foreign },
+    { { 503, { id, refused } }, answer_verdict::not_run },
+    { { 503, { refused } }, answer_verdict::not_run },
+    { { 421, { id } }, answer_verdict::not_run },
+    { { 503, { id } }, answer_verdict::invalid },
+    { { 429, { id } }, answer_verdict::invalid },
+    { { 200, { id } }, answer_verdict::invalid },
+    { { 200, { signature } }, answer_verdict::invalid },
+    { { 200, { id, signature, { "Content-Encoding", "gzip" } } }, answer_verdict::invalid },
+  };
+  for (const row& item : rows) {
+    BOOST_TEST((classify_answer(item.head, "r1") == item.verdict), item.head.status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_time_to_return_is_given_in_seconds)
+{
+  const auto headers = refusal_headers("r1", 1050);
+  BOOST_TEST(*find_header(headers, "Retry-After") == "1.050");
+  BOOST_TEST(find_header(refusal_headers("", 0), "Retry-After") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/** A configuration as the operator writes it. */
+static json
+configuration()
+{
+  return json::parse(R"({"version":7,
+    "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15},
+    "base_version":5,"unknown":{"a":1},
+    "listeners":[{"host":"h.example","rules":[
+      {"name":"r1","kind":"unsafe","target_latency_s":0.4,"priority":1,
+       "match":{"prefix":"/a/b/"},"action":{"service":"s1","timeout_s":1,"max_attempts":2}},
+      {"name":"r2","kind":"safe","target_latency_s":0.3,"priority":2,
+       "match":{"prefix":"/a/"},"action":{"traffic_split":[{"service":"s1","weight":90},
+         {"service":"s2","weight":10}],"timeout_s":0.8,"max_attempts":3}}]}],
+    "clusters":[{"name":"s1","health_check_path":"/healthz"},{"name":"s2"}]})");
+}
+
+/** Why a configuration is refused. */
+static std::string
+fault_of(const json& from)
+{
+  const auto error =
+    error_of<configuration_error>([&] { return parse_configuration(from.dump()); });
+  return error ? error->field : "none";
+}
+
+BOOST_AUTO_TEST_SUITE(platform_configuration)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_and_routes_by_the_longest_prefix)
+{
+  auto document = value_of([] { return parse_configuration(configuration().dump()); });
+  BOOST_REQUIRE(document.has_value());
+  BOOST_TEST(document->limits.body_bytes_max == 1000);
+  const route_table table(std::move(*document));
+  BOOST_TEST(table.version() == 7U);
+  const route_rule* rule = table.find("H.example:80", "/a/b/c?x=/a/");
+  BOOST_REQUIRE(rule != nullptr);
+  BOOST_TEST(rule->name == "r1");
+  BOOST_TEST((rule->kind == request_kind::single));
+  BOOST_TEST(rule->objective_ms == 400);
+  BOOST_TEST(table.find("h.example", "/a/x")->targets.size() == 2U);
+  BOOST_TEST(table.find("h.example", "/a") == nullptr);
+  BOOST_TEST(table.find("other", "/a/x") == nullptr);
+  BOOST_TEST(table.find_service("s1")->health_path == "/healthz");
+}
+
+BOOST_AUTO_TEST_CASE(each_fault_refuses_the_whole)
+{
+  const std::vector<std::tuple<std::string, json, std::string>> rows = {
+    { "/version", "x", "version" },
+    { "/limits", 3, "limits" },
+    { "/limits/max_body_bytes", -1, "max_body_bytes" },
+    { "/listeners", json::object(), "listeners" },
+    { "/listeners/0/host", "", "host" },
+    { "/listeners/0/rules/0/kind", "odd", "kind" },
+    { "/listeners/0/rules/0/match/prefix", "a", "prefix" },
+    { "/listeners/0/rules/0/action/service", "missing", "service" },
+    { "/listeners/0/rules/0/action/timeout_s", -2, "timeout_s" },
+    { "/listeners/0/rules/0/action/max_attempts", 0, "max_attempts" },
+    { "/listeners/0/rules/1/action/traffic_split", json::array(), "weight" },
+    { "/clusters", nullptr, "clusters" },
+  };
+  for (const auto& [pointer, value, field] : rows) {
+    json changed = configuration();
+    changed[json::json_pointer(pointer)] = value;
+    BOOST_TEST(fault_of(changed) == field, pointer);
+  }
+  BOOST_TEST(fault_of(configuration()) == "none");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(platform_store)
+
+BOOST_AUTO_TEST_CASE(records_survive_the_way_to_the_store_and_back)
+{
+  const store_request call = append_request(store_topic::nodes, { "node-1", "value" });
+  BOOST_TEST(call.head.target == "/v1/log-append?topic=keyed.nodes&part=0");
+  const std::string answer = std::string(15, '\0') + "\x01" + call.body + call.body;
+  const store_answer read = parse_tail(200, answer, 10);
+  const auto& tail = std::get<topic_tail>(read);
+  BOOST_TEST(tail.next == 12U);
+  BOOST_TEST((tail.records.at(0) == keyed_record{ "node-1", "value" }));
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_cannot_be_read_are_faults)
+{
+  BOOST_TEST(std::holds_alternative<tail_trimmed>(parse_tail(410, "", 0)));
+  BOOST_TEST((std::get<store_fault>(parse_tail(503, "", 0)) == store_fault::refused));
+  for (const std::string& body : { std::string("short"),
+                                   std::string(17, '\0'),
+                                   std::string(16, '\0') + std::string("\0\0\0\x09x", 5),
+                                   std::string(16, '\0') + std::string("\0\0\0\x01\x05", 5) }) {
+    BOOST_TEST((std::get<store_fault>(parse_tail(200, body, 0)) == store_fault::malformed));
+  }
+  for (const std::string body :
+       { "",
+         "[]",
+         R"({"items":[]})",
+         R"({"items":[3],"has_more":false,"end":1})",
+         R"({"items":[{"key":"a","value":"?"}],"has_more":false,"end":1})" }) {
+    BOOST_TEST((std::get<store_fault>(parse_newest(200, body)) == store_fault::malformed), body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_newest_records_come_in_pages)
+{
+  const store_answer read = parse_newest(
+    200, R"({"items":[{"key":"config","value":"e30=","offset":4}],"has_more":true,"end":6})");
+  const auto& page = std::get<newest_page>(read);
+  BOOST_TEST(page.records.at(0).value == "{}");
+  BOOST_TEST(page.has_more);
+  BOOST_TEST(page.end == 6U);
+  BOOST_TEST(newest_request(store_topic::nodes, "a b").head.target ==
+             "/v1/log-newest?topic=keyed.nodes&part=0&after=a%20b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(platform_environment)
+
+BOOST_AUTO_TEST_CASE(bounds_are_read_and_broken_ones_refused)
+{
+  const auto bounds =
+    parse_bounds({ "grace_s=6", "retry_budget_ratio=0.2", "retry_budget_slack=56", "new=1" });
+  BOOST_REQUIRE(bounds.has_value());
+  BOOST_TEST(bounds->grace_ms == 6000);
+  BOOST_TEST(bounds->retry_slack == 56);
+  for (const std::string text :
+       { "grace_s", "grace_s=", "grace_s=x", "grace_s=-1", "grace_s=nan" }) {
+    BOOST_TEST(!parse_bounds({ text }).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/process/peer_test.cpp
@@ -0,0 +1,136 @@
+// Tests of what a proxy believes of its peers and of the server beside it.
+#include "process/process.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+/** A beacon of a node. */
+static node_beacon
+make_beacon(const node_id& id, std::uint64_t boot, std::uint64_t sequence)
+{
+  node_beacon beacon;
+  beacon.id = id;
+  beacon.boot = boot;
+  beacon.sequence = sequence;
+  beacon.host = "10.0.0.1";
+  return beacon;
+}
+
+/** A heartbeat of the server beside this proxy. */
+static server_heartbeat
+make_heartbeat(const std::string& instance,
+               std::optional<unix_ms> born,
+               std::uint64_t sequence,
+               server_state state = server_state::ready)
+{
+  return { instance, "shop", { "10.0.0.9", 80 }, state, 4, 0, born, sequence };
+}
+
+BOOST_AUTO_TEST_SUITE(peer_beliefs)
+
+BOOST_AUTO_TEST_CASE(late_beacons_change_nothing)
+{
+  peer_table peers("self");
+  BOOST_TEST((peers.take(make_beacon("a", 1, 5), 0) == beacon_effect::changed));
+  BOOST_TEST((peers.take(make_beacon("a", 1, 4), 1) == beacon_effect::stale));
+  BOOST_TEST((peers.take(make_beacon("a", 1, 6), 2) == beacon_effect::refreshed));
+  BOOST_TEST((peers.take(make_beacon("self", 1, 6), 2) == beacon_effect::stale));
+}
+
+BOOST_AUTO_TEST_CASE(a_beacon_of_a_former_process_is_late)
+{
+  peer_table peers("self");
+  peers.take(make_beacon("a", 1, 5), 0);
+  BOOST_TEST((peers.take(make_beacon("a", 2, 1), 1) == beacon_effect::changed));
+  BOOST_TEST((peers.take(make_beacon("a", 1, 9), 2) == beacon_effect::stale));
+  BOOST_TEST(peers.peers().at("a").beacon.boot == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_peer_is_gone_until_it_speaks)
+{
+  peer_table peers("self");
+  peers.take(make_beacon("a", 1, 1), 0);
+  BOOST_TEST(!peers.expire(peers.silence_ms()));
+  BOOST_TEST(peers.expire(peers.silence_ms() + 1));
+  BOOST_TEST(peers.view()->empty());
+  BOOST_TEST((peers.take(make_beacon("a", 1, 2), 9000) == beacon_effect::changed));
+  BOOST_TEST(peers.view()->size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(silence_that_nobody_could_hear_is_excused)
+{
+  peer_table peers("self");
+  peers.take(make_beacon("a", 1, 1), 0);
+  peers.excuse_silence(60'000);
+  BOOST_TEST(!peers.expire(60'100));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(server_beliefs)
+
+BOOST_AUTO_TEST_CASE(leaving_is_final_for_one_incarnation)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.take(make_heartbeat("i", 100, 1), 0);
+  BOOST_TEST((server.take(make_heartbeat("i", 100, 2, server_state::draining), 10) ==
+              heartbeat_effect::changed));
+  server.take(make_heartbeat("i", 100, 3), 20);
+  BOOST_TEST((server.notice().state == server_state::draining));
+  // The same id, started anew, is another incarnation.
+  BOOST_TEST((server.take(make_heartbeat("i", 200, 1), 30) == heartbeat_effect::changed));
+  BOOST_TEST((server.notice().state == server_state::ready));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_of_an_earlier_incarnation_are_late)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.take(make_heartbeat("j", 200, 1), 0);
+  BOOST_TEST((server.take(make_heartbeat("i", 100, 9), 10) == heartbeat_effect::ignored));
+  BOOST_TEST((server.take(make_heartbeat("k", std::nullopt, 9), 10) == heartbeat_effect::ignored));
+  BOOST_TEST((server.take(make_heartbeat("j", 200, 1), 10) == heartbeat_effect::ignored));
+  BOOST_TEST(server.notice().instance == "j");
+}
+
+BOOST_AUTO_TEST_CASE(another_address_is_not_the_server_beside)
+{
+  server_watch server({ "10.0.0.8", 80 }, 6000);
+  BOOST_TEST((server.take(make_heartbeat("i", 100, 1), 0) == heartbeat_effect::ignored));
+  BOOST_TEST(server.notice().instance.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_departure_counts_for_the_current_incarnation_only)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.take(make_heartbeat("i", 100, 1), 0);
+  BOOST_TEST(!server.leave("j"));
+  BOOST_TEST(server.leave("i"));
+  BOOST_TEST(!server.leave("i"));
+  BOOST_TEST((server.notice().state == server_state::draining));
+}
+
+BOOST_AUTO_TEST_CASE(silence_and_refused_connections_take_it_out_until_it_announces_itself)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.take(make_heartbeat("i", 100, 1), 0);
+  BOOST_TEST(!server.expire(6000));
+  BOOST_TEST(server.expire(6001));
+  BOOST_TEST((server.notice().state == server_state::none));
+  server.take(make_heartbeat("i", 100, 2), 7000);
+  BOOST_TEST((server.notice().state == server_state::ready));
+  BOOST_TEST(server.note_refused());
+  BOOST_TEST((server.notice().state == server_state::none));
+}
+
+BOOST_AUTO_TEST_CASE(a_health_check_stands_in_for_the_first_announcement)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  BOOST_TEST(server.take_probe("i", "shop", 6, 0));
+  BOOST_TEST(server.notice().slots == 6U);
+  BOOST_TEST((server.take(make_heartbeat("i", 100, 40), 10) == heartbeat_effect::changed));
+  BOOST_TEST(server.notice().slots == 4U);
+  BOOST_TEST(!server.take_probe("k", "shop", 6, 20));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
