Send beacons through relays and weigh the way by the bytes that cross it

Beacons now cross zones between two relays of each zone, packed as lists; the way to a server counts by the bytes that such requests had. A reader of the store waits 200 ms for its peers, not 600 ms.

--- a/src/connection/beacon_codec.cpp
+++ b/src/connection/beacon_codec.cpp
@@ -11,28 +11,60 @@
  */
 static constexpr std::uint64_t BEACON_FORMAT = 1;
 
-std::string
-encode_beacon(const node_beacon& beacon)
+/** Bytes of a datagram before its records. */
+static constexpr std::size_t LIST_HEAD_BYTES = 4;
+
+/** Writes one beacon as a list, which takes a third of the bytes of a map. */
+static json
+beacon_to_json(const node_beacon& beacon)
 {
-  const json head = { { "format", BEACON_FORMAT },
-                      { "id", beacon.id },
-                      { "boot", beacon.boot },
-                      { "sequence", beacon.sequence },
-                      { "region", beacon.region },
-                      { "zone", beacon.zone },
-                      { "host", beacon.host },
-                      { "service", beacon.server.service },
-                      { "instance", beacon.server.instance },
-                      { "slots", beacon.server.slots },
-                      { "state", enum_name(beacon.server.state) },
-                      { "running", beacon.running },
-                      { "waiting", beacon.waiting },
-                      { "version", beacon.config_version },
-                      { "store", beacon.is_store_reachable },
-                      { "leaving", beacon.is_leaving } };
-  std::string bytes;
-  json::to_msgpack(head, bytes);
-  return bytes;
+  return json::array({ beacon.id,
+                       beacon.boot,
+                       beacon.sequence,
+                       beacon.region,
+                       beacon.zone,
+                       beacon.host,
+                       beacon.processor_permille,
+                       beacon.server.service,
+                       beacon.server.instance,
+                       beacon.server.slots,
+                       static_cast<unsigned>(beacon.server.state),
+                       beacon.running,
+                       beacon.waiting,
+                       beacon.config_version,
+                       beacon.is_store_reachable,
+                       beacon.is_leaving });
+}
+
+std::vector<std::string>
+encode_beacons(const std::vector<const node_beacon*>& beacons)
+{
+  std::vector<std::string> datagrams;
+  std::string records;
+  std::uint16_t count = 0;
+  const auto finish = [&] {
+    // The head of a msgpack list with the format and then the records.
+    static constexpr char ARRAY_16 = static_cast<char>(0xdc);
+    const auto length = static_cast<std::uint16_t>(count + 1);
+    std::string bytes{ ARRAY_16, static_cast<char>(length >> 8U), static_cast<char>(length) };
+    json::to_msgpack(BEACON_FORMAT, bytes);
+    datagrams.push_back(bytes + records);
+    records.clear();
+    count = 0;
+  };
+  for (const node_beacon* beacon : beacons) {
+    std::string record;
+    json::to_msgpack(beacon_to_json(*beacon), record);
+    if (count > 0 && records.size() + record.size() + LIST_HEAD_BYTES > BEACON_BYTES_MAX) {
+      finish();
+    }
+    records += record;
+    ++count;
+  }
+  if (count > 0) {
+    finish();
+  }
+  return datagrams;
 }
 
 /** Decodes a map of this format. */
@@ -68,29 +100,78 @@
   return host;
 }
 
-leaf::result<node_beacon>
-parse_beacon(std::string_view bytes)
+/** Checks and copies one field of a beacon's list. */
+template<typename T>
+static bool
+read_item(const json& item, T& into)
 {
-  BOOST_LEAF_AUTO(head, decode_map(bytes));
+  if constexpr (std::is_same_v<T, bool>) {
+    if (!item.is_boolean()) {
+      return false;
+    }
+  } else if constexpr (std::is_same_v<T, std::string>) {
+    if (!item.is_string()) {
+      return false;
+    }
+  } else if (!item.is_number_unsigned() ||
+             item.get<std::uint64_t>() > std::numeric_limits<T>::max()) {
+    return false;
+  }
+  into = item.get<T>();
+  return true;
+}
+
+/** Reads one beacon. */
+static leaf::result<node_beacon>
+parse_beacon(const json& list)
+{
+  static constexpr std::size_t FIELDS = 16;
+  if (!list.is_array() || list.size() != FIELDS) {
+    return bad_message();
+  }
   node_beacon result;
-  BOOST_LEAF_ASSIGN(result.id, read_member<std::string>(head, "id"));
-  BOOST_LEAF_ASSIGN(result.boot, read_member<std::uint64_t>(head, "boot"));
-  BOOST_LEAF_ASSIGN(result.sequence, read_member<std::uint64_t>(head, "sequence"));
-  BOOST_LEAF_ASSIGN(result.region, read_member<std::string>(head, "region"));
-  BOOST_LEAF_ASSIGN(result.zone, read_member<std::string>(head, "zone"));
-  BOOST_LEAF_ASSIGN(result.host, read_host(head));
-  BOOST_LEAF_ASSIGN(result.server.service, read_member<std::string>(head, "service"));
-  BOOST_LEAF_ASSIGN(result.server.instance, read_member<std::string>(head, "instance"));
-  BOOST_LEAF_ASSIGN(result.server.slots, read_member<std::uint32_t>(head, "slots"));
-  BOOST_LEAF_ASSIGN(result.server.state, read_enum<server_state>(head, "state"));
-  BOOST_LEAF_ASSIGN(result.running, read_member<std::uint32_t>(head, "running"));
-  BOOST_LEAF_ASSIGN(result.waiting, read_member<std::uint32_t>(head, "waiting"));
-  BOOST_LEAF_ASSIGN(result.config_version, read_member<std::uint64_t>(head, "version"));
-  BOOST_LEAF_ASSIGN(result.is_store_reachable, read_member<bool>(head, "store"));
-  BOOST_LEAF_ASSIGN(result.is_leaving, read_member<bool>(head, "leaving"));
-  if (result.id.empty() || result.boot == 0) {
+  unsigned state = 0;
+  auto item = list.begin();
+  const bool is_read =
+    read_item(*item++, result.id) && read_item(*item++, result.boot) &&
+    read_item(*item++, result.sequence) && read_item(*item++, result.region) &&
+    read_item(*item++, result.zone) && read_item(*item++, result.host) &&
+    read_item(*item++, result.processor_permille) && read_item(*item++, result.server.service) &&
+    read_item(*item++, result.server.instance) && read_item(*item++, result.server.slots) &&
+    read_item(*item++, state) && read_item(*item++, result.running) &&
+    read_item(*item++, result.waiting) && read_item(*item++, result.config_version) &&
+    read_item(*item++, result.is_store_reachable) && read_item(*item++, result.is_leaving);
+  const bool is_valid = is_read && !result.id.empty() && result.boot != 0 &&
+                        state < SERVER_STATE_ROWS.size() && parse_endpoint(result.host + ":1");
+  if (!is_valid) {
     return bad_message();
   }
+  result.server.state = static_cast<server_state>(state);
+  return result;
+}
+
+leaf::result<std::vector<node_beacon>>
+parse_beacons(std::string_view bytes)
+{
+  if (bytes.size() > BEACON_BYTES_MAX) {
+    return leaf::new_error(frame_error{ frame_fault::too_large });
+  }
+  std::optional<frame_error> error;
+  const json list = decode_head(bytes, error);
+  if (error) {
+    return leaf::new_error(*error);
+  }
+  if (!list.is_array() || list.empty()) {
+    return bad_message();
+  }
+  if (list.front() != BEACON_FORMAT) {
+    return leaf::new_error(frame_error{ frame_fault::wrong_protocol });
+  }
+  std::vector<node_beacon> result;
+  for (auto item = list.begin() + 1; item != list.end(); ++item) {
+    BOOST_LEAF_AUTO(beacon, parse_beacon(*item));
+    result.push_back(std::move(beacon));
+  }
   return result;
 }
 
--- a/src/connection/beacon_codec.h
+++ b/src/connection/beacon_codec.h
@@ -5,19 +5,20 @@
 #include <boost/leaf/result.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace shallotfield {
 
 /** Largest beacon that is sent or accepted; it fits into one packet of any link. */
 inline constexpr std::size_t BEACON_BYTES_MAX = 1200;
 
-/** @param beacon A beacon. @return The datagram, msgpack. */
-std::string
-encode_beacon(const node_beacon& beacon);
+/** @param beacons Beacons. @return The datagrams that carry them, msgpack. */
+std::vector<std::string>
+encode_beacons(const std::vector<const node_beacon*>& beacons);
 
-/** @param bytes A datagram from a peer. @return The beacon; or frame_error. */
-boost::leaf::result<node_beacon>
-parse_beacon(std::string_view bytes);
+/** @param bytes A datagram from a peer. @return Its beacons; or frame_error. */
+boost::leaf::result<std::vector<node_beacon>>
+parse_beacons(std::string_view bytes);
 
 /** @param self A node. @return What the directory holds of it. */
 std::string
--- /dev/null
+++ b/src/process/beacon_relay.cpp
@@ -0,0 +1,158 @@
+// Plans which beacons a proxy sends to whom.
+#include "beacon_relay.h"
+
+#include <map>
+#include <tuple>
+
+namespace shallotfield {
+
+/** What crosses zones is sent every so many-th round. */
+static constexpr std::uint64_t CROSSING_ROUNDS = 2;
+
+/** Peers that don't live get every so many-th beacon. */
+static constexpr std::uint64_t SILENT_PEER_ROUNDS = 4;
+
+/** Peers that were heard of so lately get a beacon each round, though they haven't answered. */
+static constexpr mono_ms NEW_PEER_MS = 2000;
+
+/** The relays of a zone, this node included if it is one. */
+static std::vector<node_id>
+zone_relays(const peer_table& peers, const node_beacon& self, const std::string& zone)
+{
+  std::vector<std::tuple<std::int64_t, std::string_view>> ranks;
+  const auto add = [&](const node_beacon& node) {
+    if (node.zone == zone && !node.is_leaving) {
+      ranks.emplace_back(-static_cast<std::int64_t>(node.processor_permille), node.id);
+    }
+  };
+  add(self);
+  for (const auto& [id, peer] : peers.peers()) {
+    if (peer.is_alive) {
+      add(peer.beacon);
+    }
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<node_id> relays;
+  for (const auto& [power, id] : ranks) {
+    if (relays.size() < ZONE_RELAYS) {
+      relays.emplace_back(id);
+    }
+  }
+  return relays;
+}
+
+std::optional<std::size_t>
+relay_rank(const peer_table& peers, const node_beacon& self)
+{
+  const std::vector<node_id> relays = zone_relays(peers, self, self.zone);
+  const auto found = std::find(relays.begin(), relays.end(), self.id);
+  if (found == relays.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - relays.begin());
+}
+
+/** The relays of other zones to which a relay of this rank sends. */
+static std::vector<node_id>
+foreign_relays(const peer_table& peers, const node_beacon& self, std::size_t rank)
+{
+  std::set<std::string> zones;
+  for (const auto& [id, peer] : peers.peers()) {
+    if (peer.is_alive && peer.beacon.zone != self.zone) {
+      zones.insert(peer.beacon.zone);
+    }
+  }
+  std::vector<node_id> targets;
+  for (const std::string& zone : zones) {
+    const std::vector<node_id> relays = zone_relays(peers, self, zone);
+    if (!relays.empty()) {
+      targets.push_back(relays[std::min(rank, relays.size() - 1)]);
+    }
+  }
+  return targets;
+}
+
+std::vector<beacon_batch>
+plan_beacon_round(const peer_table& peers,
+                  const node_beacon& self,
+                  std::uint64_t round,
+                  mono_ms now)
+{
+  const std::optional<std::size_t> rank = relay_rank(peers, self);
+  beacon_batch inward{ {}, { self.id } };
+  beacon_batch outward{ {}, { self.id } };
+  beacon_batch silent{ {}, { self.id } };
+  bool has_foreign = false;
+  for (const auto& [id, peer] : peers.peers()) {
+    const bool is_near = peer.beacon.zone == self.zone;
+    const bool is_new = now - peer.added_at < NEW_PEER_MS;
+    if (!peer.is_alive) {
+      if (is_new || (round % SILENT_PEER_ROUNDS == 0 && (is_near || rank))) {
+        silent.targets.push_back(id);
+      }
+    } else if (is_near) {
+      inward.targets.push_back(id);
+      outward.records.push_back(id);
+    } else {
+      has_foreign = true;
+      if (rank) {
+        inward.records.push_back(id);
+      }
+    }
+  }
+  std::vector<beacon_batch> plan;
+  if (rank && has_foreign && round % CROSSING_ROUNDS == 0) {
+    outward.targets = foreign_relays(peers, self, *rank);
+  }
+  for (beacon_batch* batch : { &inward, &outward, &silent }) {
+    if (!batch->targets.empty()) {
+      plan.push_back(std::move(*batch));
+    }
+  }
+  return plan;
+}
+
+std::vector<beacon_batch>
+plan_urgent_beacons(const peer_table& peers,
+                    const node_beacon& self,
+                    const std::set<node_id>& changed)
+{
+  const std::optional<std::size_t> rank = relay_rank(peers, self);
+  beacon_batch inward;
+  beacon_batch outward;
+  if (changed.contains(self.id)) {
+    inward.records.push_back(self.id);
+    outward.records.push_back(self.id);
+  }
+  for (const node_id& id : changed) {
+    const auto found = peers.peers().find(id);
+    if (found != peers.peers().end()) {
+      const bool is_near = found->second.beacon.zone == self.zone;
+      (is_near ? outward : inward).records.push_back(id);
+    }
+  }
+  // Without being a relay, a proxy passes on nothing but its own beacon.
+  if (!rank) {
+    std::erase_if(inward.records, [&self](const node_id& id) { return id != self.id; });
+    outward.records.clear();
+  }
+  std::vector<beacon_batch> plan;
+  if (!inward.records.empty()) {
+    for (const auto& [id, peer] : peers.peers()) {
+      if (peer.is_alive && peer.beacon.zone == self.zone) {
+        inward.targets.push_back(id);
+      }
+    }
+  }
+  if (!outward.records.empty()) {
+    outward.targets = foreign_relays(peers, self, *rank);
+  }
+  for (beacon_batch* batch : { &inward, &outward }) {
+    if (!batch->targets.empty()) {
+      plan.push_back(std::move(*batch));
+    }
+  }
+  return plan;
+}
+
+} // namespace shallotfield
--- a/src/process/config_follower.cpp
+++ b/src/process/config_follower.cpp
@@ -31,8 +31,9 @@
 /** Time between two transfers, also if a peer sends what can't be read. */
 static constexpr mono_ms FETCH_PAUSE_MS = 50;
 
-/** Time for the first beacons to arrive, before a proxy takes itself for a reader. */
-static constexpr mono_ms JOIN_MS = 600;
+/** Time for the first beacons to arrive, before a proxy takes itself for a reader. Two round trips
+ * between regions lie well below. */
+static constexpr mono_ms JOIN_MS = 200;
 
 config_follower::config_follower(node_beacon self, mono_ms now)
   : self_(std::move(self))
@@ -71,13 +72,21 @@
 bool
 config_follower::ranks_as_reader(const peer_table& peers) const
 {
-  // Those that reach the store go first; the rest of the order is the same at every proxy.
-  using rank = std::tuple<bool, std::string_view>;
+  using rank = std::tuple<bool, std::int64_t, std::string_view>;
+  // Those that reach the store go first, then those with more processor time; the order is the same
+  // at every proxy.
+  const auto rank_of = [](const node_beacon& node) {
+    return rank{ !node.is_store_reachable,
+                 -static_cast<std::int64_t>(node.processor_permille),
+                 node.id };
+  };
+  node_beacon self = self_;
+  self.is_store_reachable = is_store_reachable_;
   std::vector<std::pair<rank, std::string_view>> candidates;
-  candidates.emplace_back(rank{ !is_store_reachable_, self_.id }, self_.region);
+  candidates.emplace_back(rank_of(self), self.region);
   for (const auto& [id, peer] : peers.peers()) {
     if (peer.is_alive && !peer.beacon.is_leaving) {
-      candidates.emplace_back(rank{ !peer.beacon.is_store_reachable, id }, peer.beacon.region);
+      candidates.emplace_back(rank_of(peer.beacon), peer.beacon.region);
     }
   }
   std::sort(candidates.begin(), candidates.end());
@@ -92,7 +101,7 @@
   }
   candidates.resize(std::min(candidates.size(), READERS));
   return std::any_of(candidates.begin(), candidates.end(), [this](const auto& item) {
-    return std::get<1>(item.first) == self_.id;
+    return std::get<std::string_view>(item.first) == self_.id;
   });
 }
 
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -10,9 +10,12 @@
 /** Time between beacons for each peer: bounds a node's datagrams to about 80 a second. */
 static constexpr std::int64_t BEACON_MS_PER_PEER = 12;
 
-/** Beacons in a row that may be lost before a peer counts as gone. */
+/** Beacons in a row that may be lost before a peer of the same zone counts as gone. */
 static constexpr std::int64_t BEACONS_MISSED_MAX = 3;
 
+/** The same for other zones: a beacon waits up to three intervals at its two relays. */
+static constexpr std::int64_t FOREIGN_BEACONS_MISSED_MAX = 7;
+
 /** Processes of a node that are remembered, so that their late beacons are recognised. */
 static constexpr std::size_t PAST_BOOTS_KEPT = 4;
 
@@ -77,7 +80,7 @@
 {
   bool has_changed = false;
   for (auto& [id, peer] : peers_) {
-    if (peer.is_alive && now - peer.heard_at > silence_ms()) {
+    if (peer.is_alive && now - peer.heard_at > silence_ms(peer.beacon)) {
       peer.is_alive = false;
       has_changed = true;
     }
@@ -114,14 +117,17 @@
 std::int64_t
 peer_table::interval_ms() const
 {
-  return std::max(BEACON_INTERVAL_MS,
-                  BEACON_MS_PER_PEER * static_cast<std::int64_t>(peers_.size()));
+  const auto near = std::count_if(peers_.begin(), peers_.end(), [this](const auto& item) {
+    return item.second.beacon.zone == zone_;
+  });
+  return std::max<std::int64_t>(BEACON_INTERVAL_MS, BEACON_MS_PER_PEER * near);
 }
 
 std::int64_t
-peer_table::silence_ms() const
+peer_table::silence_ms(const node_beacon& peer) const
 {
-  return interval_ms() * BEACONS_MISSED_MAX + BEACON_INTERVAL_MS / 2;
+  const std::int64_t missed = peer.zone == zone_ ? BEACONS_MISSED_MAX : FOREIGN_BEACONS_MISSED_MAX;
+  return interval_ms() * missed + BEACON_INTERVAL_MS / 2;
 }
 
 } // namespace shallotfield
--- a/src/process/peer_table_base.h
+++ b/src/process/peer_table_base.h
@@ -36,9 +36,10 @@
 class peer_table
 {
 public:
-  /** @param self This node, which is never its own peer. */
-  explicit peer_table(node_id self)
+  /** @param self This node, which is never its own peer. @param zone Its availability zone. */
+  peer_table(node_id self, std::string zone)
     : self_(std::move(self))
+    , zone_(std::move(zone))
   {
   }
 
@@ -64,14 +65,17 @@
   /** @return The peers that live, for the traffic threads. */
   peer_view_ptr view() const;
 
-  /** @return Time between two beacons; grows with the peers, so that a node's cost doesn't. */
+  /** @return Time between two beacons; grows with the peers in the zone, so that a node's cost
+   * doesn't. */
   std::int64_t interval_ms() const;
 
-  /** @return Silence after which a peer counts as gone. */
-  std::int64_t silence_ms() const;
+  /** @param peer A peer. @return Silence after which it counts as gone; longer for those of other
+   * zones, whose beacons come through relays. */
+  std::int64_t silence_ms(const node_beacon& peer) const;
 
 private:
   node_id self_;                        ///< This node.
+  std::string zone_;                    ///< Its availability zone.
   std::map<node_id, peer_entry> peers_; ///< By name.
 };
 
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -1,5 +1,6 @@
 // What lives as long as the process: settings, logs, metrics, clocks, membership, platform client.
 #pragma once
+#include "beacon_relay.h"         // IWYU pragma: export
 #include "beacon_type.h"          // IWYU pragma: export
 #include "census_type.h"          // IWYU pragma: export
 #include "clock_type.h"           // IWYU pragma: export
--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -118,7 +118,7 @@
 {
   traffic_.set_server(server_.notice());
   publish_peers();
-  send_beacons(false);
+  note_urgent(self_.id);
 }
 
 void
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -50,7 +50,7 @@
         write_log(item.is_reachable ? log_event::log_reachable : log_event::log_unreachable,
                   { { "call", "configuration" } });
         // Another proxy has to read in place of this one, or need no longer do so.
-        send_beacons(false);
+        note_urgent(self_.id);
       },
     },
     effect);
@@ -112,7 +112,7 @@
                   { "source", effect.is_from_store ? "store" : "peer" },
                   { "bytes", config_text_.size() } });
       follow(version_applied{ table_->version() });
-      send_beacons(false);
+      note_urgent(self_.id);
       return {};
     },
     [&](const platform::configuration_error& error) {
--- a/src/process/proxy_directory.cpp
+++ b/src/process/proxy_directory.cpp
@@ -117,7 +117,7 @@
   follower_.set_peers_known(true);
   write_log(log_event::log_reachable,
             { { "call", "directory" }, { "peers", peers_.peers().size() } });
-  send_beacons(true);
+  greet_all();
   if (!is_in_directory_ && !was_read) {
     add_to_directory();
   }
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -20,8 +20,8 @@
 /** Announcements in a row that may be lost before a server counts as gone. */
 static constexpr std::int64_t ANNOUNCEMENTS_MISSED_MAX = 4;
 
-/** Peers that don't live get every so many-th beacon. */
-static constexpr std::uint64_t SILENT_PEER_ROUNDS = 4;
+/** Time in which changes are gathered before they are passed on. */
+static constexpr int URGENT_DELAY_MS = 5;
 
 /** Time after which peers stop sending requests here. They are spared the loss of a server for as
  * long as what they send can be answered before the end. */
@@ -59,6 +59,7 @@
   self.region = options.region;
   self.zone = options.zone;
   self.host = options.host;
+  self.processor_permille = options.processor_permille;
   return self;
 }
 
@@ -66,7 +67,7 @@
   : options_(std::move(options))
   , bounds_(bounds)
   , self_(first_beacon(options_))
-  , peers_(options_.node_id)
+  , peers_(options_.node_id, options_.zone)
   , server_(options_.server_address, options_.server_heartbeat_ms * ANNOUNCEMENTS_MISSED_MAX)
   , follower_(self_, read_clocks().mono)
   , store_(options_.store_address)
@@ -140,7 +141,7 @@
     publish_peers();
   }
   if (now >= next_beacon_at_) {
-    send_beacons(false);
+    send_round();
   }
   join();
   probe_server();
@@ -170,11 +171,8 @@
 }
 
 void
-proxy_node::send_beacons(bool to_all)
+proxy_node::refresh_beacon()
 {
-  const mono_ms now = read_clocks().mono;
-  next_beacon_at_ = now + peers_.interval_ms();
-  ++beacon_round_;
   ++self_.sequence;
   self_.server = server_.notice();
   self_.config_version = follower_.version();
@@ -183,14 +181,73 @@
   const load_report load = traffic_.load();
   self_.running = load.running;
   self_.waiting = load.waiting;
-  const std::string bytes = encode_beacon(self_);
+}
+
+void
+proxy_node::send_round()
+{
+  const mono_ms now = read_clocks().mono;
+  next_beacon_at_ = now + peers_.interval_ms();
+  refresh_beacon();
+  send(plan_beacon_round(peers_, self_, ++beacon_round_, now));
+  publish_peers();
+}
+
+void
+proxy_node::note_urgent(const node_id& id)
+{
+  // What changes together is passed on together.
+  if (urgent_.empty() && greeted_.empty()) {
+    QTimer::singleShot(URGENT_DELAY_MS, &context_, [this] { send_urgent(); });
+  }
+  urgent_.insert(id);
+}
+
+void
+proxy_node::send_urgent()
+{
+  refresh_beacon();
+  std::vector<beacon_batch> plan = plan_urgent_beacons(peers_, self_, urgent_);
+  if (!greeted_.empty()) {
+    plan.push_back({ { greeted_.begin(), greeted_.end() }, { self_.id } });
+  }
+  urgent_.clear();
+  greeted_.clear();
+  send(plan);
+  if (views_differ_) {
+    publish_peers();
+  }
+}
+
+void
+proxy_node::greet_all()
+{
+  refresh_beacon();
+  beacon_batch batch{ {}, { self_.id } };
   for (const auto& [id, peer] : peers_.peers()) {
-    if (peer.is_alive || to_all || beacon_round_ % SILENT_PEER_ROUNDS == 0 ||
-        now - peer.added_at < PAUSE_MS) {
-      beacons_.writeDatagram(bytes.data(),
-                             static_cast<qint64>(bytes.size()),
-                             QHostAddress(QString::fromStdString(peer.beacon.host)),
-                             static_cast<std::uint16_t>(options_.peers_port + 1));
+    batch.targets.push_back(id);
+  }
+  send({ batch });
+}
+
+void
+proxy_node::send(const std::vector<beacon_batch>& plan)
+{
+  for (const beacon_batch& batch : plan) {
+    std::vector<const node_beacon*> records;
+    for (const node_id& id : batch.records) {
+      const auto found = peers_.peers().find(id);
+      records.push_back(found == peers_.peers().end() ? &self_ : &found->second.beacon);
+    }
+    const std::vector<std::string> datagrams = encode_beacons(records);
+    for (const node_id& target : batch.targets) {
+      const QHostAddress host(QString::fromStdString(peers_.peers().at(target).beacon.host));
+      for (const std::string& bytes : datagrams) {
+        beacons_.writeDatagram(bytes.data(),
+                               static_cast<qint64>(bytes.size()),
+                               host,
+                               static_cast<std::uint16_t>(options_.peers_port + 1));
+      }
     }
   }
 }
@@ -198,30 +255,14 @@
 void
 proxy_node::read_beacons()
 {
-  bool has_changed = false;
-  bool has_newcomer = false;
   while (beacons_.hasPendingDatagrams()) {
     const QByteArray bytes = beacons_.receiveDatagram(BEACON_BYTES_MAX + 1).data();
     leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(beacon,
-                        parse_beacon({ bytes.data(), static_cast<std::size_t>(bytes.size()) }));
-        const auto known = peers_.peers().find(beacon.id);
-        const bool was_alive = known != peers_.peers().end() && known->second.is_alive &&
-                               known->second.beacon.boot == beacon.boot;
-        const beacon_effect effect = peers_.take(beacon, read_clocks().mono);
-        has_changed = has_changed || effect == beacon_effect::changed;
-        has_newcomer = has_newcomer || (effect == beacon_effect::changed && !was_alive);
-        if (effect == beacon_effect::changed) {
-          write_log(log_event::member_changed,
-                    { { "node", beacon.id },
-                      { "host", beacon.host },
-                      { "service", beacon.server.service },
-                      { "instance", beacon.server.instance },
-                      { "server", enum_name(beacon.server.state) },
-                      { "version", beacon.config_version },
-                      { "store", beacon.is_store_reachable ? "yes" : "no" },
-                      { "leaving", beacon.is_leaving ? "yes" : "no" } });
+        BOOST_LEAF_AUTO(beacons,
+                        parse_beacons({ bytes.data(), static_cast<std::size_t>(bytes.size()) }));
+        for (const node_beacon& beacon : beacons) {
+          take_beacon(beacon);
         }
         return {};
       },
@@ -232,18 +273,53 @@
       },
       [&] { count(counter_id::inputs_refused); });
   }
-  if (has_newcomer) {
-    send_beacons(false);
+  follow(follow_checked{});
+}
+
+void
+proxy_node::take_beacon(const node_beacon& beacon)
+{
+  const auto known = peers_.peers().find(beacon.id);
+  const bool was_known = known != peers_.peers().end();
+  const node_beacon before = was_known ? known->second.beacon : node_beacon{};
+  const bool was_alive = was_known && known->second.is_alive && before.boot == beacon.boot;
+  std::uint64_t newest = follower_.version();
+  for (const auto& [id, peer] : peers_.peers()) {
+    if (peer.is_alive && peer.beacon.zone == beacon.zone) {
+      newest = std::max(newest, peer.beacon.config_version);
+    }
+  }
+  if (peers_.take(beacon, read_clocks().mono) != beacon_effect::changed) {
+    return;
   }
-  if (has_changed) {
-    publish_peers();
-    follow(follow_checked{});
+  // A version that others of the zone have already is no news to anybody.
+  const bool is_first_with_version = beacon.config_version > newest;
+  const bool has_other_server =
+    before.server != beacon.server || before.is_leaving != beacon.is_leaving || !was_alive;
+  const bool is_urgent = has_other_server || is_first_with_version ||
+                         before.is_store_reachable != beacon.is_store_reachable;
+  views_differ_ = views_differ_ || has_other_server;
+  if (is_urgent) {
+    note_urgent(beacon.id);
+  }
+  if (!was_alive) {
+    greeted_.insert(beacon.id);
   }
+  write_log(log_event::member_changed,
+            { { "node", beacon.id },
+              { "host", beacon.host },
+              { "service", beacon.server.service },
+              { "instance", beacon.server.instance },
+              { "server", enum_name(beacon.server.state) },
+              { "version", beacon.config_version },
+              { "store", beacon.is_store_reachable ? "yes" : "no" },
+              { "leaving", beacon.is_leaving ? "yes" : "no" } });
 }
 
 void
 proxy_node::publish_peers()
 {
+  views_differ_ = false;
   self_.server = server_.notice();
   self_.is_leaving = is_leave_announced_;
   auto view = std::make_shared<peer_view>(*peers_.view());
@@ -276,8 +352,8 @@
   const mono_ms since = now - leaving_since_;
   if (since >= ANNOUNCE_AFTER_MS && !is_leave_announced_) {
     is_leave_announced_ = true;
-    send_beacons(false);
     publish_peers();
+    note_urgent(self_.id);
   }
   if (since >= DRAIN_AFTER_MS && !is_draining_) {
     is_draining_ = true;
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -1,5 +1,6 @@
 // The control thread of a proxy: what it believes of its peers, its server and the configuration.
 #pragma once
+#include "beacon_relay.h"
 #include "config_follower_base.h"
 #include "connection/connection.h"
 #include "listener_base.h"
@@ -45,8 +46,14 @@
   // proxy_node.cpp: ticks, beacons and leaving.
   void tick();
   void detect_pause(mono_ms now);
-  void send_beacons(bool to_all);
+  void refresh_beacon();
+  void send_round();
+  void send_urgent();
+  void note_urgent(const node_id& id);
+  void greet_all();
+  void send(const std::vector<beacon_batch>& plan);
   void read_beacons();
+  void take_beacon(const node_beacon& beacon);
   void publish_peers();
   void check_left(mono_ms now);
   bool is_ready() const;
@@ -103,6 +110,9 @@
   mono_ms last_tick_ = 0;              ///< When tick() ran last.
   mono_ms next_beacon_at_ = 0;         ///< When to send beacons.
   std::uint64_t beacon_round_ = 0;     ///< Counts them.
+  std::set<node_id> urgent_;           ///< Nodes whose beacons are passed on at once.
+  std::set<node_id> greeted_;          ///< New peers that get a beacon at once.
+  bool views_differ_ = false;          ///< The traffic thread has an older view.
   mono_ms next_probe_at_ = 0;          ///< When to look for the server.
   mono_ms alone_since_ = 0;            ///< Since when no peer lives.
   bool is_in_directory_ = false;       ///< This node's address stands there.
--- a/src/process/proxy_settings.cpp
+++ b/src/process/proxy_settings.cpp
@@ -49,7 +49,11 @@
 /** Longest interval of announcements that is accepted, in seconds. */
 static constexpr double HEARTBEAT_S_MAX = 3600;
 
+/** Most cores that are believed. */
+static constexpr double PROCESSOR_SHARE_MAX = 1024;
+
 static constexpr double MS_PER_S = 1000;
+static constexpr double PERMILLE = 1000;
 
 /** Builds the error for a key. */
 static leaf::error_id
@@ -154,6 +158,15 @@
     return refuse("server_heartbeat_s", setting_fault::out_of_range);
   }
   result.server_heartbeat_ms = std::llround(seconds * MS_PER_S);
+  BOOST_LEAF_AUTO(share, find_setting(file, "processor_share"));
+  if (!share->is_number()) {
+    return refuse("processor_share", setting_fault::wrong_type);
+  }
+  if (!(share->get<double>() > 0) || share->get<double>() > PROCESSOR_SHARE_MAX) {
+    return refuse("processor_share", setting_fault::out_of_range);
+  }
+  result.processor_permille =
+    static_cast<std::uint32_t>(std::ceil(share->get<double>() * PERMILLE));
   BOOST_LEAF_AUTO(first, find_setting(file, "is_first_start"));
   if (!first->is_boolean()) {
     return refuse("is_first_start", setting_fault::wrong_type);
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -24,6 +24,7 @@
   std::uint16_t peers_port = 0;   ///< First port for links between proxies; the next one carries
                                   ///< beacons and configurations.
   std::int64_t server_heartbeat_ms = 0; ///< Interval of the server's announcements.
+  std::uint32_t processor_permille = 0; ///< Thousandths of a core that the process may use.
   bool is_first_start = false;          ///< The whole fleet starts for the first time.
   std::vector<std::string> bounds;      ///< The platform's bounds, as it gives them.
 };
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -15,6 +15,13 @@
 /** Wait that a caller is asked for if no node named one. */
 static constexpr std::int64_t RETRY_AFTER_DEFAULT_MS = 200;
 
+/** Bytes that are assumed of a download, and of other requests, until some were seen. */
+static constexpr double DOWNLOAD_BYTES = 60'000;
+static constexpr double OTHER_BYTES = 3000;
+
+/** Weight of the latest request in the average of bytes: about the last twenty count. */
+static constexpr double BYTES_WEIGHT = 0.05;
+
 static constexpr unsigned STATUS_NOT_FOUND = 404;
 static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
 static constexpr unsigned STATUS_BAD_GATEWAY = 502;
@@ -48,6 +55,10 @@
   service_id choose_service();
   /** Sends the request to one more server. @return Whether there was one. */
   bool try_server();
+  /** Bytes of the request and its answer, by what such requests had before. */
+  double expected_bytes() const;
+  /** Notes the bytes of the request and its answer. */
+  void note_bytes(std::size_t answer_bytes);
   /** Whether the request may go to another server after an attempt that may have run. */
   bool may_repeat();
   /** Ends an attempt in the eyes of the proxy. */
@@ -128,10 +139,28 @@
   return targets[chosen].service;
 }
 
+double
+exchange_handler::expected_bytes() const
+{
+  const auto found = proxy_.expected_bytes.find(call_.rule->name);
+  if (found != proxy_.expected_bytes.end()) {
+    return found->second;
+  }
+  return call_.rule->kind == request_kind::download ? DOWNLOAD_BYTES : OTHER_BYTES;
+}
+
+void
+exchange_handler::note_bytes(std::size_t answer_bytes)
+{
+  const auto bytes = static_cast<double>(answer_bytes + call_.body.size());
+  const double known = expected_bytes();
+  proxy_.expected_bytes[call_.rule->name] = known + BYTES_WEIGHT * (bytes - known);
+}
+
 bool
 exchange_handler::try_server()
 {
-  choice_request request{ call_.service, call_.rule->kind, {} };
+  choice_request request{ call_.service, {}, expected_bytes() };
   for (const exchange_attempt& attempt : call_.attempts) {
     request.excluded.insert(attempt.node);
   }
@@ -186,6 +215,9 @@
       return;
     }
   }
+  if (!is_failure) {
+    note_bytes(event.body.size());
+  }
   finish("answered", "server", event.head.status);
   effects_.emplace_back(give_answer{ event.head, event.body });
 }
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -130,8 +130,9 @@
   server_sights sights;                             ///< What this proxy sees of the servers.
   std::map<service_id, retry_allowance> allowances; ///< By service.
   std::unordered_map<std::string, std::vector<double>>
-    split_debts;                  ///< Requests that each part of a split is behind, by rule.
-  retry_limits limits;            ///< Limits on repeats.
+    split_debts; ///< Requests that each part of a split is behind, by rule.
+  std::unordered_map<std::string, double> expected_bytes; ///< Request and answer together, by rule.
+  retry_limits limits;                                    ///< Limits on repeats.
   std::optional<mono_ms> ends_at; ///< When this process ends, once it is known.
   random_source random;           ///< Random numbers.
 };
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -30,17 +30,23 @@
 struct distance_cost
 {
   server_distance distance; ///< The distance.
-  double small_answers;     ///< For requests with small answers.
-  double downloads;         ///< For downloads: their bytes fill the links between zones.
+  double each;              ///< For each request: the time on the way.
+  double each_kb;           ///< For each KB: links between zones and regions are narrow and paid.
 };
 
 static constexpr std::array<distance_cost, 4> DISTANCE_COSTS = { {
   { server_distance::same_node, 0, 0 },
   { server_distance::same_zone, 0, 0 },
-  { server_distance::same_region, 0.25, 1.0 },
-  { server_distance::far, 0.5, 2.0 },
+  { server_distance::same_region, 0.05, 0.03 },
+  { server_distance::far, 0.2, 0.06 },
 } };
 
+/** A request that costs more than this on the way goes there only if no nearer server takes work at
+ * all: a full queue is no reason. */
+static constexpr double WAY_COST_MAX = 3;
+
+static constexpr double BYTES_PER_KB = 1000;
+
 void
 server_sights::note_sent(const node_id& node)
 {
@@ -123,17 +129,19 @@
   return std::max<double>(sight.in_flight, reported * trust) / slots;
 }
 
-/** The score of a server; less is better. */
+/** What the way to a server costs. */
 static double
-score_of(const node_beacon& node,
-         server_distance distance,
-         const server_sight& sight,
-         request_kind kind,
-         mono_ms now)
+way_cost(server_distance distance, double expected_bytes)
 {
   const distance_cost& cost = DISTANCE_COSTS[static_cast<std::size_t>(distance)];
-  double score = expected_load(node, sight, now);
-  score += kind == request_kind::download ? cost.downloads : cost.small_answers;
+  return cost.each + cost.each_kb * expected_bytes / BYTES_PER_KB;
+}
+
+/** The score of a server; less is better. */
+static double
+score_of(const node_beacon& node, double way, const server_sight& sight, mono_ms now)
+{
+  double score = expected_load(node, sight, now) + way;
   if (node.server.state == server_state::cold) {
     score += COLD_PENALTY;
   }
@@ -152,16 +160,22 @@
 {
   std::optional<server_choice> best;
   std::optional<server_choice> avoided;
+  server_distance nearest = server_distance::far;
   std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
   for (const auto& [id, node] : view) {
     const bool takes_work =
       node.server.state == server_state::ready || node.server.state == server_state::cold;
-    if (!takes_work || node.server.service != request.service || request.excluded.contains(id)) {
+    if (!takes_work || node.server.service != request.service) {
       continue;
     }
     const server_sight& sight = sights.at(id);
     const server_distance distance = distance_of(node, self);
-    const double score = score_of(node, distance, sight, request.kind, now) + jitter(random);
+    nearest = std::min(nearest, distance);
+    if (request.excluded.contains(id)) {
+      continue;
+    }
+    const double way = way_cost(distance, request.expected_bytes);
+    const double score = score_of(node, way, sight, now) + jitter(random);
     const server_choice choice{ &node, distance, score };
     // A node that is leaving, or can't be reached, is better than none.
     const bool is_doubtful = node.is_leaving || sight.avoid_until > now;
@@ -170,7 +184,12 @@
       place = choice;
     }
   }
-  return best ? best : avoided;
+  const std::optional<server_choice>& choice = best ? best : avoided;
+  if (choice && choice->distance > nearest &&
+      way_cost(choice->distance, request.expected_bytes) > WAY_COST_MAX) {
+    return std::nullopt;
+  }
+  return choice;
 }
 
 } // namespace shallotfield
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -73,9 +73,9 @@
 /** What a request asks of a server. */
 struct choice_request
 {
-  service_id service;                           ///< The service.
-  request_kind kind = request_kind::idempotent; ///< Downloads cross zones last.
-  std::set<node_id> excluded;                   ///< Nodes that the request was at already.
+  service_id service;         ///< The service.
+  std::set<node_id> excluded; ///< Nodes that the request was at already.
+  double expected_bytes = 0;  ///< Request and answer together, as such ones had.
 };
 
 /** A chosen server. */
--- a/tests/connection/proxy_codec_test.cpp
+++ b/tests/connection/proxy_codec_test.cpp
@@ -11,31 +11,45 @@
 static node_beacon
 make_beacon()
 {
-  return { "a", 1, 2, "west", "west-a", "10.0.0.1", { "shop", "i-1", 18, server_state::cold },
+  return { "a", 1, 2, "west", "west-a", "10.0.0.1", 200, { "shop", "i-1", 18, server_state::cold },
            3,   4, 5, true,   true };
 }
 
 BOOST_AUTO_TEST_SUITE(proxy_codecs)
 
-BOOST_AUTO_TEST_CASE(a_beacon_survives_its_datagram)
+BOOST_AUTO_TEST_CASE(beacons_survive_their_datagrams)
 {
-  const auto read = value_of([] { return parse_beacon(encode_beacon(make_beacon())); });
-  BOOST_REQUIRE(read.has_value());
-  BOOST_TEST((*read == make_beacon()));
-  BOOST_TEST(encode_beacon(make_beacon()).size() < BEACON_BYTES_MAX);
+  const node_beacon beacon = make_beacon();
+  const std::vector<const node_beacon*> many(40, &beacon);
+  std::size_t read = 0;
+  for (const std::string& bytes : encode_beacons(many)) {
+    BOOST_TEST(bytes.size() <= BEACON_BYTES_MAX);
+    const auto beacons = value_of([&] { return parse_beacons(bytes); });
+    BOOST_REQUIRE(beacons.has_value());
+    for (const node_beacon& item : *beacons) {
+      BOOST_TEST((item == beacon));
+      ++read;
+    }
+  }
+  BOOST_TEST(read == many.size());
 }
 
 BOOST_AUTO_TEST_CASE(damaged_datagrams_are_refused_or_read_but_never_more)
 {
   std::mt19937 random(20261204);
-  const std::string whole = encode_beacon(make_beacon());
+  const node_beacon beacon = make_beacon();
+  const std::string whole = encode_beacons({ &beacon, &beacon }).at(0);
   for (int i = 0; i < 20'000; ++i) {
     std::string bytes = whole.substr(0, random() % (whole.size() + 1));
     for (int changes = static_cast<int>(random() % 4); changes > 0 && !bytes.empty(); --changes) {
       bytes[random() % bytes.size()] = static_cast<char>(random());
     }
-    const auto read = value_of([&] { return parse_beacon(bytes); });
-    BOOST_TEST((!read || !read->id.empty()));
+    const auto read = value_of([&] { return parse_beacons(bytes); });
+    if (read) {
+      for (const node_beacon& item : *read) {
+        BOOST_TEST(!item.id.empty());
+      }
+    }
   }
 }
 
--- a/tests/process/follower_test.cpp
+++ b/tests/process/follower_test.cpp
@@ -27,7 +27,7 @@
   /** Starts the proxy. */
   void start(const node_id& id)
   {
-    peers = std::make_unique<peer_table>(id);
+    peers = std::make_unique<peer_table>(id, id.substr(0, id.size() - 1));
     follower = std::make_unique<config_follower>(make_beacon(id, 0), 0);
     follower->set_peers_known(true);
   }
--- a/tests/process/peer_test.cpp
+++ b/tests/process/peer_test.cpp
@@ -14,6 +14,7 @@
   beacon.boot = boot;
   beacon.sequence = sequence;
   beacon.host = "10.0.0.1";
+  beacon.zone = "z";
   return beacon;
 }
 
@@ -31,7 +32,7 @@
 
 BOOST_AUTO_TEST_CASE(late_beacons_change_nothing)
 {
-  peer_table peers("self");
+  peer_table peers("self", "z");
   BOOST_TEST((peers.take(make_beacon("a", 1, 5), 0) == beacon_effect::changed));
   BOOST_TEST((peers.take(make_beacon("a", 1, 4), 1) == beacon_effect::stale));
   BOOST_TEST((peers.take(make_beacon("a", 1, 6), 2) == beacon_effect::refreshed));
@@ -40,7 +41,7 @@
 
 BOOST_AUTO_TEST_CASE(a_beacon_of_a_former_process_is_late)
 {
-  peer_table peers("self");
+  peer_table peers("self", "z");
   peers.take(make_beacon("a", 1, 5), 0);
   BOOST_TEST((peers.take(make_beacon("a", 2, 1), 1) == beacon_effect::changed));
   BOOST_TEST((peers.take(make_beacon("a", 1, 9), 2) == beacon_effect::stale));
@@ -49,18 +50,26 @@
 
 BOOST_AUTO_TEST_CASE(a_silent_peer_is_gone_until_it_speaks)
 {
-  peer_table peers("self");
+  peer_table peers("self", "z");
   peers.take(make_beacon("a", 1, 1), 0);
-  BOOST_TEST(!peers.expire(peers.silence_ms()));
-  BOOST_TEST(peers.expire(peers.silence_ms() + 1));
+  BOOST_TEST(!peers.expire(peers.silence_ms(make_beacon("a", 1, 1))));
+  BOOST_TEST(peers.expire(peers.silence_ms(make_beacon("a", 1, 1)) + 1));
   BOOST_TEST(peers.view()->empty());
   BOOST_TEST((peers.take(make_beacon("a", 1, 2), 9000) == beacon_effect::changed));
   BOOST_TEST(peers.view()->size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(peers_of_other_zones_may_be_silent_for_longer)
+{
+  const peer_table peers("self", "y");
+  const peer_table near("self", "z");
+  const node_beacon peer = make_beacon("a", 1, 1);
+  BOOST_TEST(peers.silence_ms(peer) > near.silence_ms(peer));
+}
+
 BOOST_AUTO_TEST_CASE(silence_that_nobody_could_hear_is_excused)
 {
-  peer_table peers("self");
+  peer_table peers("self", "z");
   peers.take(make_beacon("a", 1, 1), 0);
   peers.excuse_silence(60'000);
   BOOST_TEST(!peers.expire(60'100));
--- a/tests/process/proxy_settings_test.cpp
+++ b/tests/process/proxy_settings_test.cpp
@@ -24,6 +24,7 @@
            { "store_address", "10.0.0.2:5" },
            { "peers_port", 7000 },
            { "server_heartbeat_s", 1.5 },
+           { "processor_share", 0.2 },
            { "is_first_start", true },
            { "bounds", { "grace_s=6" } },
            { "added_later", 1 } };
@@ -37,6 +38,7 @@
   BOOST_REQUIRE(parsed.has_value());
   BOOST_TEST(parsed->server_heartbeat_ms == 1500);
   BOOST_TEST(parsed->peers_port == 7000);
+  BOOST_TEST(parsed->processor_permille == 200U);
   BOOST_TEST(parsed->bounds.size() == 1U);
 }
 
@@ -53,6 +55,8 @@
     { "peers_port", "7000", setting_fault::wrong_type },
     { "server_heartbeat_s", 0, setting_fault::out_of_range },
     { "server_heartbeat_s", "1", setting_fault::wrong_type },
+    { "processor_share", "1", setting_fault::wrong_type },
+    { "processor_share", 0, setting_fault::out_of_range },
     { "is_first_start", 1, setting_fault::wrong_type },
     { "bounds", 3, setting_fault::wrong_type },
     { "bounds", { 3 }, setting_fault::wrong_type },
--- /dev/null
+++ b/tests/process/relay_test.cpp
@@ -0,0 +1,184 @@
+// Tests of which beacons a proxy sends to whom, on a fleet in memory.
+#include "process/process.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace shallotfield;
+
+/** A fleet whose proxies send each other what they plan, without losses. */
+class beacon_fleet
+{
+public:
+  /** @param zones Zones. @param nodes Proxies in each zone. */
+  beacon_fleet(std::size_t zones, std::size_t nodes)
+  {
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+      for (std::size_t node = 0; node < nodes; ++node) {
+        node_beacon beacon;
+        beacon.zone = "z" + std::to_string(zone);
+        beacon.id = beacon.zone + "-" + std::to_string(node);
+        beacon.boot = 1;
+        beacon.processor_permille = node + 1 == nodes ? 500 : 100;
+        beacons_[beacon.id] = beacon;
+        tables_.emplace(beacon.id, peer_table(beacon.id, beacon.zone));
+      }
+    }
+    for (auto& [self, table] : tables_) {
+      for (const auto& [peer, beacon] : beacons_) {
+        table.add_address(beacon, 0);
+      }
+    }
+  }
+
+  /** Lets every running proxy send one round. */
+  void run_round(mono_ms now)
+  {
+    ++round_;
+    for (auto& [id, beacon] : beacons_) {
+      if (!stopped_.contains(id)) {
+        ++beacon.sequence;
+        deliver(id, plan_beacon_round(tables_.at(id), beacon, round_, now), now);
+      }
+    }
+    for (auto& [id, table] : tables_) {
+      table.expire(now);
+    }
+  }
+
+  /** Changes a proxy's server and passes that on at once. */
+  void change(const node_id& id, const std::string& instance, mono_ms now)
+  {
+    beacons_[id].server.instance = instance;
+    ++beacons_[id].sequence;
+    deliver(id, plan_urgent_beacons(tables_.at(id), beacons_[id], { id }), now);
+  }
+
+  /** Stops a proxy. */
+  void stop(const node_id& id) { stopped_.insert(id); }
+
+  /** @return How many running proxies believe that a node lives. */
+  std::size_t count_believers(const node_id& id) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(tables_.begin(), tables_.end(), [&](const auto& item) {
+        const auto found = item.second.peers().find(id);
+        return !stopped_.contains(item.first) && found != item.second.peers().end() &&
+               found->second.is_alive;
+      }));
+  }
+
+  /** @return How many proxies know a server's instance. */
+  std::size_t count_knowing(const node_id& id, const std::string& instance) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(tables_.begin(), tables_.end(), [&](const auto& item) {
+        const auto found = item.second.peers().find(id);
+        return found != item.second.peers().end() &&
+               found->second.beacon.server.instance == instance;
+      }));
+  }
+
+  std::size_t crossings = 0; ///< Records that crossed zones.
+
+private:
+  void deliver(const node_id& from, const std::vector<beacon_batch>& plan, mono_ms now)
+  {
+    for (const beacon_batch& batch : plan) {
+      for (const node_id& target : batch.targets) {
+        std::set<node_id> news;
+        for (const node_id& record : batch.records) {
+          crossings += beacons_.at(target).zone != beacons_.at(from).zone ? 1 : 0;
+          const node_beacon& beacon =
+            record == from ? beacons_.at(from) : tables_.at(from).peers().at(record).beacon;
+          const auto known = tables_.at(target).peers().find(record);
+          const bool is_news = known == tables_.at(target).peers().end() ||
+                               known->second.beacon.server != beacon.server;
+          const bool is_taken = !stopped_.contains(target) &&
+                                tables_.at(target).take(beacon, now) == beacon_effect::changed;
+          if (is_taken && is_news) {
+            news.insert(record);
+          }
+        }
+        if (!news.empty()) {
+          deliver(target, plan_urgent_beacons(tables_.at(target), beacons_.at(target), news), now);
+        }
+      }
+    }
+  }
+
+  std::map<node_id, node_beacon> beacons_; ///< Own beacon of each proxy.
+  std::map<node_id, peer_table> tables_;   ///< What each proxy believes.
+  std::set<node_id> stopped_;              ///< Proxies that don't run.
+  std::uint64_t round_ = 0;                ///< Rounds so far.
+};
+
+BOOST_AUTO_TEST_SUITE(beacon_relaying)
+
+BOOST_AUTO_TEST_CASE(everybody_learns_of_everybody_and_of_changes_at_once)
+{
+  beacon_fleet fleet(6, 15);
+  for (int round = 1; round <= 8; ++round) {
+    fleet.run_round(round * 500);
+  }
+  BOOST_TEST(fleet.count_believers("z3-7") == 89U);
+  fleet.change("z3-7", "i-2", 4100);
+  BOOST_TEST(fleet.count_knowing("z3-7", "i-2") == 89U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopped_proxy_is_gone_everywhere_and_nobody_else_is)
+{
+  beacon_fleet fleet(4, 3);
+  mono_ms now = 0;
+  for (int round = 1; round <= 8; ++round) {
+    fleet.run_round(now += 500);
+  }
+  fleet.stop("z1-2"); // A relay.
+  for (int round = 1; round <= 20; ++round) {
+    fleet.run_round(now += 500);
+    BOOST_TEST(fleet.count_believers("z1-0") == 10U, round);
+    BOOST_TEST(fleet.count_believers("z2-2") == 10U, round);
+  }
+  BOOST_TEST(fleet.count_believers("z1-2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(what_crosses_zones_grows_with_the_zones_and_not_with_the_pairs)
+{
+  std::map<std::size_t, std::size_t> crossings;
+  for (const std::size_t nodes : { 10, 20 }) {
+    beacon_fleet fleet(4, nodes);
+    mono_ms now = 0;
+    for (int round = 1; round <= 8; ++round) {
+      fleet.run_round(now += 500);
+    }
+    fleet.crossings = 0;
+    for (int round = 1; round <= 20; ++round) {
+      fleet.run_round(now += 500);
+    }
+    crossings[nodes] = fleet.crossings;
+  }
+  // Twice the proxies: twice the records; sent to everybody they would be four times as many.
+  BOOST_TEST(crossings[20] < crossings[10] * 2.2);
+}
+
+BOOST_AUTO_TEST_CASE(the_proxies_with_the_most_processor_time_relay)
+{
+  peer_table peers("a", "z");
+  node_beacon self;
+  self.id = "a";
+  self.zone = "z";
+  self.processor_permille = 100;
+  for (const node_id id : { "b", "c", "d" }) {
+    node_beacon peer = self;
+    peer.id = id;
+    peer.boot = 1;
+    peer.sequence = 1;
+    peer.processor_permille = id == "b" ? 100 : 500;
+    peers.take(peer, 0);
+  }
+  BOOST_TEST(!relay_rank(peers, self).has_value());
+  self.processor_permille = 500;
+  BOOST_TEST(relay_rank(peers, self).value() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
