Keep departures that come before the first heartbeat, and read cancellations before work starts

Departures are now kept by id, and an incarnation born later under the same id takes work. Test: a_departure_before_the_first_heartbeat_holds.

--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -93,7 +93,7 @@
                },
                [&](const platform::server_departure& item) {
                  session.answer(STATUS_OK, json, platform::ACKNOWLEDGEMENT);
-                 const bool has_changed = server_.leave(item.instance);
+                 const bool has_changed = server_.leave(item.instance, read_clocks().unix);
                  write_log(log_event::server_announced,
                            { { "instance", item.instance },
                              { "state", "gone" },
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -1,6 +1,8 @@
 // Links between proxies.
 #include "proxy_traffic_base.h"
 
+#include <boost/asio/post.hpp>
+
 namespace shallotfield {
 
 /** Time for a link to open; several round trips between regions. */
@@ -9,9 +11,9 @@
 /** Silence on a link with open calls after which a ping asks whether it still works. */
 static constexpr std::int64_t PING_AFTER_MS = 400;
 
-/** Silence after which a link with open calls is given up: a peer that is slow but alive has
- * answered a ping by then. */
-static constexpr std::int64_t LINK_SILENCE_MAX_MS = 1500;
+/** Time without any byte after a ping, after which a link is given up: a peer that is slow but
+ * alive has answered by then. */
+static constexpr std::int64_t PONG_TIMEOUT_MS = 1500;
 
 /** Largest frame on a link; the largest request and the largest answer fit. */
 static constexpr std::size_t LINK_FRAME_BYTES_MAX = 80U << 20U;
@@ -55,23 +57,28 @@
   peer_link& link = found->second;
   link.is_watched = false;
   if (link.calls.empty()) {
-    link.is_pinged = false;
+    link.pinged_at = 0;
     return;
   }
-  const mono_ms silence = read_clocks().mono - link.stream->heard_at();
-  if (link.stream->is_open() && silence > LINK_SILENCE_MAX_MS && link.is_pinged) {
+  const mono_ms now = read_clocks().mono;
+  const mono_ms silence = now - link.stream->heard_at();
+  if (link.stream->heard_at() >= link.pinged_at) {
+    link.pinged_at = 0;
+  }
+  if (link.pinged_at != 0 && now - link.pinged_at > PONG_TIMEOUT_MS) {
     write_log(log_event::link_closed,
-              { { "link", name }, { "why", "silent" }, { "silence_ms", silence } });
+              { { "link", name },
+                { "why", "silent" },
+                { "silence_ms", silence },
+                { "pinged_ms", now - link.pinged_at } });
     const peer_stream_ptr stream = link.stream;
     stream->abort();
     end_link(name, stream_end::broken);
     return;
   }
-  if (link.stream->is_open() && silence >= PING_AFTER_MS) {
-    link.is_pinged = true;
+  if (link.stream->is_open() && silence >= PING_AFTER_MS && link.pinged_at == 0) {
+    link.pinged_at = now;
     link.stream->send(link_ping{ 0 });
-  } else {
-    link.is_pinged = false;
   }
   watch_link(name);
 }
@@ -156,12 +163,15 @@
   peer_session& session = found->second;
   std::visit(overloaded{
                [&](call_open& item) {
-                 const call_id call = item.id;
-                 add_job(peer_origin{ id, call }, std::move(item));
+                 // After what arrived with it has been read: a cancellation may be among it.
+                 session.unread.emplace(item.id, std::move(item));
+                 if (session.unread.size() == 1) {
+                   boost::asio::post(context_, [this, id] { take_calls(id); });
+                 }
                },
                [&](const call_cancel& item) {
                  const auto call = session.calls.find(item.id);
-                 if (call != session.calls.end()) {
+                 if (session.unread.erase(item.id) == 0 && call != session.calls.end()) {
                    cancel_job(call->second);
                  }
                },
@@ -171,6 +181,20 @@
              message);
 }
 
+void
+proxy_traffic::take_calls(session_id id)
+{
+  const auto found = sessions_.find(id);
+  if (found == sessions_.end()) {
+    return;
+  }
+  std::map<call_id, call_open> calls;
+  calls.swap(found->second.unread);
+  for (auto& [call, request] : calls) {
+    add_job(peer_origin{ id, call }, std::move(request));
+  }
+}
+
 void
 proxy_traffic::end_session(session_id id)
 {
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -112,7 +112,7 @@
     call_id next_call = 1;  ///< Number of the next call.
     std::unordered_map<call_id, std::pair<exchange_id, attempt_number>> calls; ///< Under way.
     bool is_watched = false; ///< A check is scheduled.
-    bool is_pinged = false;  ///< A ping is unanswered.
+    mono_ms pinged_at = 0;   ///< When a ping left that is unanswered; 0: none.
   };
 
   /** A link that another proxy opened. */
@@ -120,6 +120,7 @@
   {
     peer_stream_ptr stream;                         ///< The connection.
     std::unordered_map<call_id, slot_ticket> calls; ///< Under way.
+    std::map<call_id, call_open> unread;            ///< Arrived, not yet looked at.
   };
 
   /** A request for the server beside this proxy. */
@@ -168,6 +169,7 @@
   void check_link(const std::string& name);
   void add_session(boost::asio::ip::tcp::socket&& socket);
   void take_session_message(session_id id, traffic_message&& message);
+  void take_calls(session_id id);
   void end_session(session_id id);
 
   // proxy_server.cpp: the server beside this proxy.
--- a/src/process/server_watch.cpp
+++ b/src/process/server_watch.cpp
@@ -3,6 +3,16 @@
 
 namespace shallotfield {
 
+/** Departures that are remembered: a machine's server is replaced a few times in a while. */
+static constexpr std::size_t DEPARTURES_KEPT = 32;
+
+bool
+server_watch::has_departed(const server_heartbeat& from) const
+{
+  const auto found = departures_.find(from.instance);
+  return found != departures_.end() && (!from.born || *from.born < found->second);
+}
+
 heartbeat_effect
 server_watch::take(const server_heartbeat& from, mono_ms now)
 {
@@ -22,7 +32,7 @@
   if (!is_same_process) {
     has_left_ = false;
   }
-  has_left_ = has_left_ || from.state == server_state::draining;
+  has_left_ = has_left_ || from.state == server_state::draining || has_departed(from);
   server_state state = has_left_ ? server_state::draining : server_state::ready;
   if (!has_left_ && from.cold_ms > 0) {
     state = server_state::cold;
@@ -37,8 +47,15 @@
 }
 
 bool
-server_watch::leave(const std::string& instance)
+server_watch::leave(const std::string& instance, unix_ms at)
 {
+  departures_.insert_or_assign(instance, at);
+  if (departures_.size() > DEPARTURES_KEPT) {
+    departures_.erase(std::min_element(
+      departures_.begin(), departures_.end(), [](const auto& one, const auto& other) {
+        return one.second < other.second;
+      }));
+  }
   if (instance != notice_.instance || has_left_) {
     return false;
   }
--- a/src/process/server_watch_base.h
+++ b/src/process/server_watch_base.h
@@ -2,6 +2,7 @@
 #pragma once
 #include "beacon_type.h"
 
+#include <map>
 #include <optional>
 
 namespace shallotfield {
@@ -61,8 +62,13 @@
   /** Takes a heartbeat. @param from The heartbeat. @param now Current time. @return Its effect. */
   heartbeat_effect take(const server_heartbeat& from, mono_ms now);
 
-  /** Takes the word of an incarnation that it leaves. @return Whether it is the current one. */
-  bool leave(const std::string& instance);
+  /**
+   * Takes the word of an incarnation that it leaves, also if no heartbeat of it was heard.
+   * @param instance Its id.
+   * @param at Current time of day, by which a later incarnation under the same id is told apart.
+   * @return Whether it is the current one.
+   */
+  bool leave(const std::string& instance, unix_ms at);
 
   /**
    * Takes what a health check showed, if no heartbeat was heard yet.
@@ -90,13 +96,17 @@
   const server_notice& notice() const { return notice_; }
 
 private:
-  endpoint address_;            ///< Where the server listens.
-  std::int64_t silence_ms_;     ///< Silence after which it counts as gone.
-  server_notice notice_;        ///< What peers are told.
-  std::optional<unix_ms> born_; ///< Start of the current incarnation.
-  std::uint64_t sequence_ = 0;  ///< Of the latest heartbeat.
-  mono_ms heard_at_ = 0;        ///< When it arrived.
-  bool has_left_ = false;       ///< The current incarnation said that it leaves.
+  /** Whether a heartbeat comes from an incarnation that said that it leaves. */
+  bool has_departed(const server_heartbeat& from) const;
+
+  endpoint address_;                          ///< Where the server listens.
+  std::int64_t silence_ms_;                   ///< Silence after which it counts as gone.
+  server_notice notice_;                      ///< What peers are told.
+  std::optional<unix_ms> born_;               ///< Start of the current incarnation.
+  std::uint64_t sequence_ = 0;                ///< Of the latest heartbeat.
+  mono_ms heard_at_ = 0;                      ///< When it arrived.
+  bool has_left_ = false;                     ///< The current incarnation said that it leaves.
+  std::map<std::string, unix_ms> departures_; ///< When incarnations said so, by id.
 };
 
 } // namespace shallotfield
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -24,7 +24,7 @@
 static constexpr double COLD_PENALTY = 0.4;
 
 /** Random part of a score: spreads the choices of many proxies over servers that look alike. */
-static constexpr double SCORE_JITTER = 0.05;
+static constexpr double SCORE_JITTER = 0.02;
 
 /** What the distance counts, in units of a server's load. */
 struct distance_cost
@@ -141,7 +141,9 @@
 static double
 score_of(const node_beacon& node, double way, const server_sight& sight, mono_ms now)
 {
-  double score = expected_load(node, sight, now) + way;
+  // A server with free slots answers about as fast as an idle one; a queue costs ever more.
+  const double load = expected_load(node, sight, now);
+  double score = load * load * load + way;
   if (node.server.state == server_state::cold) {
     score += COLD_PENALTY;
   }
--- a/tests/process/peer_test.cpp
+++ b/tests/process/peer_test.cpp
@@ -113,12 +113,24 @@
 {
   server_watch server({ "10.0.0.9", 80 }, 6000);
   server.take(make_heartbeat("i", 100, 1), 0);
-  BOOST_TEST(!server.leave("j"));
-  BOOST_TEST(server.leave("i"));
-  BOOST_TEST(!server.leave("i"));
+  BOOST_TEST(!server.leave("j", 500));
+  BOOST_TEST(server.leave("i", 500));
+  BOOST_TEST(!server.leave("i", 500));
   BOOST_TEST((server.notice().state == server_state::draining));
 }
 
+BOOST_AUTO_TEST_CASE(a_departure_before_the_first_heartbeat_holds)
+{
+  // A proxy that has just started hears that the server leaves, then a heartbeat sent before.
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  BOOST_TEST(!server.leave("i", 1000));
+  server.take(make_heartbeat("i", 100, 33), 10);
+  BOOST_TEST((server.notice().state == server_state::draining));
+  // A later incarnation under the same id takes work.
+  server.take(make_heartbeat("i", 4000, 1), 20);
+  BOOST_TEST((server.notice().state == server_state::ready));
+}
+
 BOOST_AUTO_TEST_CASE(silence_and_refused_connections_take_it_out_until_it_announces_itself)
 {
   server_watch server({ "10.0.0.9", 80 }, 6000);
