Tell everybody of a new version directly, and bound the log lines about requests

A reader of the store now sends its beacon to all peers three times, and urgent ones go to all relays.

--- a/src/process/beacon_relay.cpp
+++ b/src/process/beacon_relay.cpp
@@ -52,9 +52,9 @@
   return static_cast<std::size_t>(found - relays.begin());
 }
 
-/** The relays of other zones to which a relay of this rank sends. */
+/** Relays of other zones: those of a rank, or all of them. */
 static std::vector<node_id>
-foreign_relays(const peer_table& peers, const node_beacon& self, std::size_t rank)
+foreign_relays(const peer_table& peers, const node_beacon& self, std::optional<std::size_t> rank)
 {
   std::set<std::string> zones;
   for (const auto& [id, peer] : peers.peers()) {
@@ -65,8 +65,10 @@
   std::vector<node_id> targets;
   for (const std::string& zone : zones) {
     const std::vector<node_id> relays = zone_relays(peers, self, zone);
-    if (!relays.empty()) {
-      targets.push_back(relays[std::min(rank, relays.size() - 1)]);
+    if (!rank) {
+      targets.insert(targets.end(), relays.begin(), relays.end());
+    } else if (!relays.empty()) {
+      targets.push_back(relays[std::min(*rank, relays.size() - 1)]);
     }
   }
   return targets;
@@ -102,7 +104,7 @@
   }
   std::vector<beacon_batch> plan;
   if (rank && has_foreign && round % CROSSING_ROUNDS == 0) {
-    outward.targets = foreign_relays(peers, self, *rank);
+    outward.targets = foreign_relays(peers, self, rank);
   }
   for (beacon_batch* batch : { &inward, &outward, &silent }) {
     if (!batch->targets.empty()) {
@@ -145,7 +147,7 @@
     }
   }
   if (!outward.records.empty()) {
-    outward.targets = foreign_relays(peers, self, *rank);
+    outward.targets = foreign_relays(peers, self, std::nullopt);
   }
   for (beacon_batch* batch : { &inward, &outward }) {
     if (!batch->targets.empty()) {
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -44,9 +44,10 @@
   input_refused,    ///< Malformed or oversized input from the wire.
   alarm,            ///< Something that an operator has to look at.
   draining,         ///< The node or its backend server stops taking new work.
+  lines_dropped,    ///< Log lines were left out to bound the volume.
 };
 
-inline constexpr enum_table<log_event, 33> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 34> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -80,8 +81,9 @@
   { log_event::input_refused, "input_refused" },
   { log_event::alarm, "alarm" },
   { log_event::draining, "draining" },
+  { log_event::lines_dropped, "lines_dropped" },
 } };
-static_assert(is_complete(LOG_EVENT_ROWS, log_event::draining));
+static_assert(is_complete(LOG_EVENT_ROWS, log_event::lines_dropped));
 
 /** @return The name table of log events. */
 constexpr const auto&
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -6,6 +6,7 @@
 #include "clock_type.h"           // IWYU pragma: export
 #include "config_follower_base.h" // IWYU pragma: export
 #include "enum_table.h"           // IWYU pragma: export
+#include "log_budget.h"           // IWYU pragma: export
 #include "log_client_base.h"      // IWYU pragma: export
 #include "log_client_type.h"      // IWYU pragma: export
 #include "log_func.h"             // IWYU pragma: export
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -130,7 +130,11 @@
         const std::string& request_id = exchanges_.at(id).state.request_id;
         answer(id, { item.status, platform::refusal_headers(request_id, item.retry_after_ms) }, "");
       },
-      [&](const exchange_log& item) { write_log(item.event, item.fields); },
+      [&](const exchange_log& item) {
+        if (log_budget_.take(item.is_routine, read_clocks().mono)) {
+          write_log(item.event, item.fields);
+        }
+      },
     },
     effect);
 }
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -13,6 +13,9 @@
 /** Longest time for a peer to send its configuration. */
 static constexpr int FETCH_TIMEOUT_MS = 800;
 
+/** Beacons that a reader of the store sends to all peers for a new version, one each tick. */
+static constexpr int VERSION_BROADCASTS = 3;
+
 /** Limits of the frames that carry configurations. */
 static constexpr frame_limits CONFIG_FRAME_LIMITS = { 1024, CONFIG_BYTES_MAX };
 
@@ -113,6 +116,11 @@
                   { "bytes", config_text_.size() } });
       follow(version_applied{ table_->version() });
       note_urgent(self_.id);
+      if (effect.is_from_store) {
+        // Relays may be down unnoticed, so that a new version is told to everybody directly, and
+        // more than once, since datagrams get lost.
+        broadcasts_left_ = VERSION_BROADCASTS;
+      }
       return {};
     },
     [&](const platform::configuration_error& error) {
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -20,6 +20,9 @@
 /** Announcements in a row that may be lost before a server counts as gone. */
 static constexpr std::int64_t ANNOUNCEMENTS_MISSED_MAX = 4;
 
+/** Interval of the lines that say how many others were left out. */
+static constexpr mono_ms LINE_REPORT_MS = 10'000;
+
 /** Time in which changes are gathered before they are passed on. */
 static constexpr int URGENT_DELAY_MS = 5;
 
@@ -143,6 +146,11 @@
   if (now >= next_beacon_at_) {
     send_round();
   }
+  if (broadcasts_left_ > 0) {
+    --broadcasts_left_;
+    greet_all();
+  }
+  report_dropped_lines(now);
   join();
   probe_server();
   follow(follow_checked{});
@@ -155,6 +163,21 @@
   }
 }
 
+void
+proxy_node::report_dropped_lines(mono_ms now)
+{
+  if (now < next_line_report_at_) {
+    return;
+  }
+  next_line_report_at_ = now + LINE_REPORT_MS;
+  const auto [all, failures] = traffic_.lines_dropped();
+  if (all != lines_reported_) {
+    write_log(log_event::lines_dropped,
+              { { "lines", all - lines_reported_ }, { "failures_since_start", failures } });
+    lines_reported_ = all;
+  }
+}
+
 void
 proxy_node::detect_pause(mono_ms now)
 {
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -51,6 +51,7 @@
   void send_urgent();
   void note_urgent(const node_id& id);
   void greet_all();
+  void report_dropped_lines(mono_ms now);
   void send(const std::vector<beacon_batch>& plan);
   void read_beacons();
   void take_beacon(const node_beacon& beacon);
@@ -112,6 +113,9 @@
   std::uint64_t beacon_round_ = 0;     ///< Counts them.
   std::set<node_id> urgent_;           ///< Nodes whose beacons are passed on at once.
   std::set<node_id> greeted_;          ///< New peers that get a beacon at once.
+  int broadcasts_left_ = 0;            ///< Beacons that tell everybody of a new version.
+  mono_ms next_line_report_at_ = 0;    ///< When to say how many log lines were left out.
+  std::uint64_t lines_reported_ = 0;   ///< As said last.
   bool views_differ_ = false;          ///< The traffic thread has an older view.
   mono_ms next_probe_at_ = 0;          ///< When to look for the server.
   mono_ms alone_since_ = 0;            ///< Since when no peer lives.
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -184,6 +184,8 @@
   const load_report report = slots_.report();
   running_ = report.running;
   waiting_ = report.waiting;
+  lines_dropped_ = log_budget_.routine_dropped() + log_budget_.failures_dropped();
+  failure_lines_dropped_ = log_budget_.failures_dropped();
 }
 
 load_report
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -1,6 +1,7 @@
 // The traffic thread of a proxy: callers' connections, links to other proxies, and connections to
 // the backend server beside it.
 #pragma once
+#include "log_budget.h"
 #include "request/request.h"
 
 #include <atomic>
@@ -83,6 +84,12 @@
   /** @return State of the server's queue. */
   load_report load() const;
 
+  /** @return Log lines left out since the start: all, and those about requests that failed. */
+  std::pair<std::uint64_t, std::uint64_t> lines_dropped() const
+  {
+    return { lines_dropped_.load(), failure_lines_dropped_.load() };
+  }
+
 private:
   using caller_id = std::uint64_t;
 
@@ -201,11 +208,14 @@
   slot_queue slots_;                                      ///< Who gets a slot of it.
   server_notice server_;                                  ///< The server.
   std::vector<idle_stream> idle_;                         ///< Idle connections to it; latest last.
-  std::uint64_t next_id_ = 1;                   ///< Number of the next caller, request or job.
-  std::atomic<std::size_t> open_requests_{ 0 }; ///< For the control thread.
-  std::atomic<std::uint32_t> running_{ 0 };     ///< For the control thread.
-  std::atomic<std::uint32_t> waiting_{ 0 };     ///< For the control thread.
-  std::thread thread_;                          ///< The thread; last, so that it ends first.
+  log_budget log_budget_;                                 ///< Bounds the lines about requests.
+  std::uint64_t next_id_ = 1;                     ///< Number of the next caller, request or job.
+  std::atomic<std::uint64_t> lines_dropped_{ 0 }; ///< For the control thread.
+  std::atomic<std::uint64_t> failure_lines_dropped_{ 0 }; ///< For the control thread.
+  std::atomic<std::size_t> open_requests_{ 0 };           ///< For the control thread.
+  std::atomic<std::uint32_t> running_{ 0 };               ///< For the control thread.
+  std::atomic<std::uint32_t> waiting_{ 0 };               ///< For the control thread.
+  std::thread thread_; ///< The thread; last, so that it ends first.
 };
 
 } // namespace shallotfield
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -22,6 +22,8 @@
 /** Weight of the latest request in the average of bytes: about the last twenty count. */
 static constexpr double BYTES_WEIGHT = 0.05;
 
+static constexpr unsigned STATUS_OK = 200;
+static constexpr unsigned STATUS_REDIRECT = 300;
 static constexpr unsigned STATUS_NOT_FOUND = 404;
 static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
 static constexpr unsigned STATUS_BAD_GATEWAY = 502;
@@ -245,7 +247,8 @@
                                         { "attempt", event.attempt },
                                         { "reason", enum_name(event.reason) },
                                         { "outcome", enum_name(event.result) },
-                                        { "left_ms", call_.deadline - now_ } } });
+                                        { "left_ms", call_.deadline - now_ } },
+                                      false });
   if (!was_seen) {
     call_.attempts[event.attempt].may_have_run = false;
     ++call_.refused_sends;
@@ -346,7 +349,8 @@
   if (!call_.attempts.empty()) {
     fields.push_back({ "node", call_.attempts.back().node });
   }
-  effects_.emplace_back(exchange_log{ log_event::request_done, std::move(fields) });
+  const bool is_routine = status >= STATUS_OK && status < STATUS_REDIRECT;
+  effects_.emplace_back(exchange_log{ log_event::request_done, std::move(fields), is_routine });
 }
 
 } // namespace
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -88,6 +88,7 @@
 {
   log_event event = log_event::request_done; ///< Kind.
   std::vector<log_field> fields;             ///< Fields.
+  bool is_routine = false;                   ///< About a request that went well.
 };
 
 using exchange_effect =
