--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -69,7 +69,7 @@
 start_logging()
 {
   using namespace log4cxx;
-  auto layout = std::make_shared<PatternLayout>("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %m%n");
+  auto layout = std::make_shared<PatternLayout>("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} %m%n");
   auto console = std::make_shared<ConsoleAppender>(layout);
   auto queue = std::make_shared<AsyncAppender>();
   queue->setBufferSize(LOG_QUEUE_LINES);
