--- a/src/command/command.h
+++ b/src/command/command.h
@@ -54,6 +54,11 @@
   bool watches = false;                      ///< --watch
 };
 
+/** Tells on standard error which setting is wrong. @param error The fault. @return The exit code.
+ */
+exit_code
+report_setting_error(const setting_error& error);
+
 /** Runs a node until it is told to leave. @param options Options. @return The exit code. */
 exit_code
 run_node(const command_options& options);
--- a/src/command/node_cmd.cpp
+++ b/src/command/node_cmd.cpp
@@ -11,6 +11,15 @@
 
 namespace shallotfield {
 
+exit_code
+report_setting_error(const setting_error& error)
+{
+  const std::vector<log_field> fields = { { "key", error.key },
+                                          { "fault", enum_name(error.fault) } };
+  std::cerr << format_log_line(log_event::setting_refused, fields) << '\n';
+  return exit_code::settings;
+}
+
 /** Runs the event loop until the node has left. */
 static leaf::result<exit_code>
 serve(const std::string& path)
@@ -34,15 +43,9 @@
   if (!install_signals()) {
     return exit_code::internal;
   }
-  const exit_code code = leaf::try_handle_all(
-    [&] { return serve(options.settings_path); },
-    [](const setting_error& error) {
-      const std::vector<log_field> fields = { { "key", error.key },
-                                              { "fault", enum_name(error.fault) } };
-      std::cerr << format_log_line(log_event::setting_refused, fields) << '\n';
-      return exit_code::settings;
-    },
-    [] { return exit_code::internal; });
+  const exit_code code = leaf::try_handle_all([&] { return serve(options.settings_path); },
+                                              report_setting_error,
+                                              [] { return exit_code::internal; });
   stop_logging();
   return code;
 }
--- a/src/command/proxy_cmd.cpp
+++ b/src/command/proxy_cmd.cpp
@@ -6,7 +6,6 @@
 
 #include <QCoreApplication>
 #include <boost/leaf/handle_errors.hpp>
-#include <iostream>
 
 namespace leaf = boost::leaf;
 
@@ -75,14 +74,7 @@
   const std::string path =
     options.settings_path.empty() ? platform::settings_path().value_or("") : options.settings_path;
   const exit_code code = leaf::try_handle_all(
-    [&] { return serve(path); },
-    [](const setting_error& error) {
-      const std::vector<log_field> fields = { { "key", error.key },
-                                              { "fault", enum_name(error.fault) } };
-      std::cerr << format_log_line(log_event::setting_refused, fields) << '\n';
-      return exit_code::settings;
-    },
-    [] { return exit_code::internal; });
+    [&] { return serve(path); }, report_setting_error, [] { return exit_code::internal; });
   stop_logging();
   return code;
 }
--- a/src/process/config_follower.cpp
+++ b/src/process/config_follower.cpp
@@ -181,25 +181,26 @@
 }
 
 void
-config_follower::on(const newest_read& event, const peer_table& /*peers*/, mono_ms now)
+config_follower::take_read(const std::optional<std::string>& text, std::uint64_t next, mono_ms now)
 {
   is_reading_ = false;
   set_reachable(true, now);
-  next_ = event.next;
-  if (event.text) {
-    effects_.emplace_back(apply_config{ *event.text, true });
+  next_ = next;
+  if (text) {
+    effects_.emplace_back(apply_config{ *text, true });
   }
 }
 
+void
+config_follower::on(const newest_read& event, const peer_table& /*peers*/, mono_ms now)
+{
+  take_read(event.text, event.next, now);
+}
+
 void
 config_follower::on(const tail_read& event, const peer_table& /*peers*/, mono_ms now)
 {
-  is_reading_ = false;
-  set_reachable(true, now);
-  next_ = event.next;
-  if (event.text) {
-    effects_.emplace_back(apply_config{ *event.text, true });
-  }
+  take_read(event.text, event.next, now);
 }
 
 void
--- a/src/process/config_follower_base.h
+++ b/src/process/config_follower_base.h
@@ -156,6 +156,8 @@
   /** Takes a newer configuration from a peer. */
   void fetch(const peer_table& peers, mono_ms now);
   void set_reachable(bool is_reachable, mono_ms now);
+  /** Takes what a call to the store brought. */
+  void take_read(const std::optional<std::string>& text, std::uint64_t next, mono_ms now);
 
   node_beacon self_;                   ///< This node's address.
   mono_ms started_at_;                 ///< Start of the process.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -61,10 +61,13 @@
   double expected_bytes() const;
   /** Notes the bytes of the request and its answer. */
   void note_bytes(std::size_t answer_bytes);
-  /** Whether the request may go to another server after an attempt that may have run. */
-  bool may_repeat();
+  /** Whether the request may go to another server after one that saw it. @param result Whether it
+   * ran there. */
+  bool may_repeat(outcome result);
   /** Ends an attempt in the eyes of the proxy. */
   void close(attempt_number attempt);
+  /** Drops all open attempts. */
+  void drop_open();
   /** Whether an attempt is open. */
   bool is_open(attempt_number attempt) const
   {
@@ -190,11 +193,11 @@
 }
 
 bool
-exchange_handler::may_repeat()
+exchange_handler::may_repeat(outcome result)
 {
+  const bool is_safe = result == outcome::not_run || is_idempotent(call_.rule->kind);
   const auto attempts_max = static_cast<std::size_t>(call_.rule->attempts_max);
-  return is_idempotent(call_.rule->kind) && call_.arrivals < attempts_max &&
-         call_.deadline - now_ > LEAST_TIME_MS &&
+  return is_safe && call_.arrivals < attempts_max && call_.deadline - now_ > LEAST_TIME_MS &&
          proxy_.allowances[call_.service].take(proxy_.limits, proxy_.view->size(), now_);
 }
 
@@ -213,7 +216,7 @@
   proxy_.sights.note_result(node, is_failure && event.head.status != STATUS_GATEWAY_TIMEOUT, now_);
   if (is_failure && event.head.status != STATUS_GATEWAY_TIMEOUT) {
     call_.may_have_run = true;
-    if (may_repeat() && try_server()) {
+    if (may_repeat(outcome::unknown) && try_server()) {
       return;
     }
   }
@@ -270,12 +273,7 @@
   } else {
     call_.attempts[event.attempt].may_have_run = false;
   }
-  const bool is_safe_to_send = event.result == outcome::not_run || is_idempotent(call_.rule->kind);
-  const auto attempts_max = static_cast<std::size_t>(call_.rule->attempts_max);
-  const bool may_try =
-    is_safe_to_send && call_.arrivals < attempts_max && call_.deadline - now_ > LEAST_TIME_MS &&
-    proxy_.allowances[call_.service].take(proxy_.limits, proxy_.view->size(), now_);
-  if (!may_try || !try_server()) {
+  if (!may_repeat(event.result) || !try_server()) {
     give_up(event.reason);
   }
 }
@@ -293,17 +291,23 @@
 }
 
 void
-exchange_handler::operator()(const exchange_expired& /*event*/)
+exchange_handler::drop_open()
 {
-  if (call_.is_done) {
-    return;
-  }
   for (attempt_number i = 0; i < call_.attempts.size(); ++i) {
     if (call_.attempts[i].is_open) {
       effects_.emplace_back(drop_attempt{ i });
       close(i);
     }
   }
+}
+
+void
+exchange_handler::operator()(const exchange_expired& /*event*/)
+{
+  if (call_.is_done) {
+    return;
+  }
+  drop_open();
   refuse(STATUS_GATEWAY_TIMEOUT, refusal::timed_out, 0);
 }
 
@@ -313,12 +317,7 @@
   if (call_.is_done) {
     return;
   }
-  for (attempt_number i = 0; i < call_.attempts.size(); ++i) {
-    if (call_.attempts[i].is_open) {
-      effects_.emplace_back(drop_attempt{ i });
-      close(i);
-    }
-  }
+  drop_open();
   finish("cancelled", "caller_left", 0);
 }
 
