Pass configurations on as what differs, and log each transfer

Ruled out: the size of the transfer alone. A transfer under way is no longer given up after 0.8 s in all but after 0.8 s of silence.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(cmake g++ clang-format clang-tidy ninja-build qt6-base-dev qt6-httpserver-dev
   qt6-websockets-dev prometheus-cpp-dev libcxxopts-dev liblog4cxx-dev libboost1.81-dev
-  libboost-test1.81-dev nlohmann-json3-dev pkg-config curl jq)
+  libboost-test1.81-dev nlohmann-json3-dev libzstd-dev pkg-config curl jq)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/src/connection/config_transfer_codec.cpp
+++ b/src/connection/config_transfer_codec.cpp
@@ -2,8 +2,6 @@
 #include "config_transfer_codec.h"
 #include "json_reader.h"
 
-#include <QByteArray>
-
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
@@ -15,13 +13,17 @@
 std::string
 encode_config_transfer(const config_transfer& message)
 {
-  if (const auto* copy = std::get_if<config_copy>(&message)) {
-    const QByteArray packed = qCompress(reinterpret_cast<const uchar*>(copy->text.data()),
-                                        static_cast<qsizetype>(copy->text.size()));
-    return encode_frame({ { "kind", COPY }, { "version", copy->version } },
-                        { packed.data(), static_cast<std::size_t>(packed.size()) });
-  }
-  return encode_frame({ { "kind", QUESTION } }, {});
+  return std::visit(overloaded{
+                      [](const config_question& item) {
+                        return encode_frame({ { "kind", QUESTION }, { "base", item.base } }, {});
+                      },
+                      [](const packed_config& item) {
+                        return encode_frame(
+                          { { "kind", COPY }, { "version", item.version }, { "base", item.base } },
+                          item.bytes);
+                      },
+                    },
+                    message);
 }
 
 leaf::result<config_transfer>
@@ -36,33 +38,15 @@
     return bad_message();
   }
   BOOST_LEAF_AUTO(kind, read_member<std::string>(head, "kind"));
+  BOOST_LEAF_AUTO(base, read_member<std::uint64_t>(head, "base"));
   if (kind == QUESTION) {
-    return config_transfer(config_question{});
+    return config_transfer(config_question{ base });
   }
   if (kind != COPY) {
     return bad_message();
   }
-  config_copy copy;
-  BOOST_LEAF_ASSIGN(copy.version, read_member<std::uint64_t>(head, "version"));
-  // The library takes the announced size from the first four bytes, so it is checked before.
-  static constexpr std::size_t SIZE_BYTES = 4;
-  if (from.payload.size() < SIZE_BYTES) {
-    return bad_message();
-  }
-  std::size_t announced = 0;
-  for (std::size_t i = 0; i < SIZE_BYTES; ++i) {
-    announced = (announced << 8U) | static_cast<unsigned char>(from.payload[i]);
-  }
-  if (announced > CONFIG_BYTES_MAX) {
-    return leaf::new_error(frame_error{ frame_fault::too_large });
-  }
-  const QByteArray text = qUncompress(reinterpret_cast<const uchar*>(from.payload.data()),
-                                      static_cast<qsizetype>(from.payload.size()));
-  if (text.isEmpty()) {
-    return bad_message();
-  }
-  copy.text = text.toStdString();
-  return config_transfer(std::move(copy));
+  BOOST_LEAF_AUTO(version, read_member<std::uint64_t>(head, "version"));
+  return config_transfer(packed_config{ version, base, from.payload });
 }
 
 } // namespace shallotfield
--- a/src/connection/config_transfer_codec.h
+++ b/src/connection/config_transfer_codec.h
@@ -1,6 +1,7 @@
 // How proxies pass a configuration on to each other: one question and one answer on a connection.
 #pragma once
 #include "frame_codec.h"
+#include "version/version.h"
 
 #include <boost/leaf/result.hpp>
 #include <string>
@@ -8,21 +9,13 @@
 
 namespace shallotfield {
 
-/** Largest configuration that is passed on, before compression. */
-inline constexpr std::size_t CONFIG_BYTES_MAX = 16U << 20U;
-
 /** Asks for the configuration in force. */
 struct config_question
-{};
-
-/** A configuration, as it stands in the store. */
-struct config_copy
 {
-  std::uint64_t version = 0; ///< Its version.
-  std::string text;          ///< Its text.
+  std::uint64_t base = 0; ///< Version that the sender holds; 0: none.
 };
 
-using config_transfer = std::variant<config_question, config_copy>;
+using config_transfer = std::variant<config_question, packed_config>;
 
 /** @param message A message. @return The frame to send. */
 std::string
--- a/src/connection/framed_socket.cpp
+++ b/src/connection/framed_socket.cpp
@@ -99,6 +99,9 @@
 framed_socket::read()
 {
   const QByteArray bytes = socket_.readAll();
+  if (on_progress && !has_ended_) {
+    on_progress();
+  }
   std::vector<frame> frames;
   const std::optional<frame_error> error =
     decoder_.feed({ bytes.data(), static_cast<std::size_t>(bytes.size()) }, frames);
--- a/src/connection/framed_socket_base.h
+++ b/src/connection/framed_socket_base.h
@@ -42,6 +42,7 @@
   std::function<void(frame&&)> on_frame; ///< A frame arrived.
   std::function<void(link_end)> on_end;  ///< The connection ended.
   std::function<void()> on_written;      ///< Bytes left the send buffer.
+  std::function<void()> on_progress;     ///< Bytes arrived, also if no frame is whole yet.
 
   /** @param limits Limits of the frames to accept. */
   explicit framed_socket(frame_limits limits);
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -16,6 +16,7 @@
   listening,        ///< A port is open.
   setting_refused,  ///< A setting is wrong; nothing was started.
   version_in_force, ///< A configuration version took effect.
+  version_fetched,  ///< A peer sent a configuration version.
   record_judged,    ///< A record of the log got its verdict.
   record_halted,    ///< A record's format is newer than this build; reading stops there.
   log_unreachable,  ///< The log service does not answer.
@@ -47,12 +48,13 @@
   lines_dropped,    ///< Log lines were left out to bound the volume.
 };
 
-inline constexpr enum_table<log_event, 34> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 35> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
   { log_event::setting_refused, "setting_refused" },
   { log_event::version_in_force, "version_in_force" },
+  { log_event::version_fetched, "version_fetched" },
   { log_event::record_judged, "record_judged" },
   { log_event::record_halted, "record_halted" },
   { log_event::log_unreachable, "log_unreachable" },
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -10,8 +10,9 @@
 /** Longest time until the store's answer, besides the wait for a record. */
 static constexpr std::int64_t STORE_TIMEOUT_MS = 500;
 
-/** Longest time for a peer to send its configuration. */
-static constexpr int FETCH_TIMEOUT_MS = 800;
+/** Longest silence of a peer that was asked for its configuration: several round trips between
+ * regions, and less than half of the time within which a version has to be in force. */
+static constexpr int FETCH_SILENCE_MS = 800;
 
 /** Beacons that a reader of the store sends to all peers for a new version, one each tick. */
 static constexpr int VERSION_BROADCASTS = 3;
@@ -107,13 +108,13 @@
         return {}; // A proxy never goes back.
       }
       table_ = std::make_shared<const route_table>(std::move(document));
-      config_text_ = effect.text;
+      configs_.add(table_->version(), effect.text);
       traffic_.set_table(table_);
       count(counter_id::versions_applied);
       write_log(log_event::version_in_force,
                 { { "version", table_->version() },
                   { "source", effect.is_from_store ? "store" : "peer" },
-                  { "bytes", config_text_.size() } });
+                  { "bytes", effect.text.size() } });
       follow(version_applied{ table_->version() });
       note_urgent(self_.id);
       if (effect.is_from_store) {
@@ -138,37 +139,57 @@
 {
   const std::uint64_t id = next_id_++;
   auto call = std::make_unique<config_transfer_call>();
+  call->node = effect.node;
+  call->started_at = read_clocks().mono;
   call->socket = std::make_unique<framed_socket>(CONFIG_FRAME_LIMITS);
-  call->socket->on_frame = [this, id](frame&& from) {
-    std::optional<std::string> text;
-    leaf::try_handle_all(
-      [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(message, parse_config_transfer(from));
-        if (auto* copy = std::get_if<config_copy>(&message)) {
-          text = std::move(copy->text);
-        }
-        return {};
-      },
-      [](const frame_error& error) {
-        write_log(log_event::input_refused,
-                  { { "edge", "configuration" }, { "fault", enum_name(error.fault) } });
-      },
-      [] {});
-    end_fetch(id, std::move(text));
-  };
+  call->socket->on_frame = [this, id](frame&& from) { take_copy(id, from); };
   call->socket->on_end = [this, id](link_end) { end_fetch(id, std::nullopt); };
+  // Over a full link a transfer takes long; beginning it anew would only add to the load.
+  call->socket->on_progress = [timeout = &call->timeout] { timeout->start(FETCH_SILENCE_MS); };
   call->timeout.setSingleShot(true);
   QObject::connect(
     &call->timeout, &QTimer::timeout, &context_, [this, id] { end_fetch(id, std::nullopt); });
-  call->timeout.setObjectName(QString::fromStdString(effect.node));
-  call->timeout.start(FETCH_TIMEOUT_MS);
+  call->timeout.start(FETCH_SILENCE_MS);
   const node_beacon& peer = peers_.peers().at(effect.node).beacon;
   call->socket->connect_to({ peer.host, static_cast<std::uint16_t>(options_.peers_port + 1) },
-                           FETCH_TIMEOUT_MS);
-  call->socket->send(encode_config_transfer(config_question{}));
+                           FETCH_SILENCE_MS);
+  call->socket->send(encode_config_transfer(config_question{ configs_.version() }));
   fetches_.emplace(id, std::move(call));
 }
 
+void
+proxy_node::take_copy(std::uint64_t id, const frame& from)
+{
+  std::optional<std::string> text;
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(message, parse_config_transfer(from));
+      if (const auto* copy = std::get_if<packed_config>(&message)) {
+        BOOST_LEAF_ASSIGN(text, configs_.unpack(*copy));
+        const auto call = fetches_.find(id);
+        if (call != fetches_.end()) {
+          write_log(log_event::version_fetched,
+                    { { "version", copy->version },
+                      { "base", copy->base },
+                      { "node", call->second->node },
+                      { "bytes", copy->bytes.size() },
+                      { "ms", read_clocks().mono - call->second->started_at } });
+        }
+      }
+      return {};
+    },
+    [](const frame_error& error) {
+      write_log(log_event::input_refused,
+                { { "edge", "configuration" }, { "fault", enum_name(error.fault) } });
+    },
+    [](const packing_error& error) {
+      write_log(log_event::input_refused,
+                { { "edge", "configuration" }, { "fault", enum_name(error.fault) } });
+    },
+    [] {});
+  end_fetch(id, std::move(text));
+}
+
 void
 proxy_node::end_fetch(std::uint64_t id, std::optional<std::string> text)
 {
@@ -180,13 +201,14 @@
   fetches_.erase(found);
   ended->timeout.stop();
   ended->socket->on_frame = nullptr;
+  ended->socket->on_progress = nullptr;
   // The socket may be calling right now, so it is deleted from the event loop.
   QMetaObject::invokeMethod(
     &context_, [ended] {}, Qt::QueuedConnection);
   if (text) {
     follow(copy_received{ std::move(*text) });
   } else {
-    follow(copy_failed{ ended->timeout.objectName().toStdString() });
+    follow(copy_failed{ ended->node });
   }
 }
 
@@ -200,8 +222,9 @@
     leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(message, parse_config_transfer(from));
-        if (std::holds_alternative<config_question>(message) && table_) {
-          socket->send(encode_config_transfer(config_copy{ table_->version(), config_text_ }));
+        const auto* question = std::get_if<config_question>(&message);
+        if (question != nullptr && table_) {
+          socket->send(encode_config_transfer(configs_.pack(question->base)));
         }
         socket->close();
         return {};
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -39,8 +39,9 @@
   struct config_transfer_call
   {
     std::unique_ptr<framed_socket> socket; ///< Its connection.
-    QTimer timeout;                        ///< Ends it.
-    bool is_done = false;                  ///< It ended.
+    QTimer timeout;                        ///< Ends it when the peer falls silent.
+    node_id node;                          ///< The peer.
+    mono_ms started_at = 0;                ///< When the peer was asked.
   };
 
   // proxy_node.cpp: ticks, beacons and leaving.
@@ -73,6 +74,7 @@
   void take_tail(const platform::store_answer& answer);
   void apply(const apply_config& effect);
   void fetch(const fetch_config& effect);
+  void take_copy(std::uint64_t id, const frame& from);
   void end_fetch(std::uint64_t id, std::optional<std::string> text);
   void accept_config_question(qintptr descriptor);
 
@@ -94,7 +96,7 @@
   server_watch server_;           ///< The server beside this proxy.
   config_follower follower_;      ///< Keeps the configuration up to date.
   route_table_ptr table_;         ///< In force.
-  std::string config_text_;       ///< The same as it stands in the store.
+  config_history configs_;        ///< The latest ones as they stand in the store.
   platform::store_client store_;  ///< The platform's store.
   proxy_traffic traffic_;         ///< The traffic thread.
   QUdpSocket beacons_;            ///< Carries beacons.
--- a/src/version/version.h
+++ b/src/version/version.h
@@ -1,6 +1,7 @@
 // What lives as long as one configuration version: documents, records, the ledger.
 #pragma once
 #include "compiled_version_base.h" // IWYU pragma: export
+#include "config_packing.h"        // IWYU pragma: export
 #include "document_func.h"         // IWYU pragma: export
 #include "document_type.h"         // IWYU pragma: export
 #include "ledger_base.h"           // IWYU pragma: export
