Bound what is under way to another region by the time on the way

Changed: each proxy keeps a window of bytes for each other region; it shrinks while short requests take over 60 ms longer on the way than at best, and what doesn't fit is refused at once. A peer that is slow to send a version is no longer given up but another one is asked as well.

--- a/src/connection/traffic_message_codec.cpp
+++ b/src/connection/traffic_message_codec.cpp
@@ -117,7 +117,8 @@
              { "reason", enum_name(message.reason) },
              { "outcome", enum_name(message.result) },
              { "retry_after", message.retry_after_ms },
-             { "load", load_to_json(message.load) } };
+             { "load", load_to_json(message.load) },
+             { "held", message.held_ms } };
   }
   json operator()(const key_query& message)
   {
@@ -133,7 +134,8 @@
     return { { "id", message.id },
              { "status", message.head.status },
              { "headers", headers_to_json(message.head.headers) },
-             { "load", load_to_json(message.load) } };
+             { "load", load_to_json(message.load) },
+             { "held", message.held_ms } };
   }
   json operator()(const link_ping& message) { return { { "id", message.id } }; }
   json operator()(const link_pong& message) { return { { "id", message.id } }; }
@@ -196,6 +198,7 @@
   BOOST_LEAF_ASSIGN(result.head.status, read_member<unsigned>(head, "status"));
   BOOST_LEAF_ASSIGN(result.head.headers, parse_headers(head));
   BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  BOOST_LEAF_ASSIGN(result.held_ms, read_member<std::int64_t>(head, "held"));
   result.body = std::move(payload);
   return traffic_message(std::move(result));
 }
@@ -221,6 +224,7 @@
   BOOST_LEAF_ASSIGN(result.result, read_enum<outcome>(head, "outcome"));
   BOOST_LEAF_ASSIGN(result.retry_after_ms, read_member<std::int64_t>(head, "retry_after"));
   BOOST_LEAF_ASSIGN(result.load, parse_load(head));
+  BOOST_LEAF_ASSIGN(result.held_ms, read_member<std::int64_t>(head, "held"));
   return traffic_message(result);
 }
 
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -211,6 +211,7 @@
   outcome result = outcome::unknown;   ///< Whether it ran.
   std::int64_t retry_after_ms = 0;     ///< When a new try may succeed; 0: not known.
   load_report load;                    ///< State of the server's queue.
+  std::int64_t held_ms = 0;            ///< Time from the call's arrival to this message.
   bool operator==(const call_refused&) const = default;
 };
 
@@ -253,10 +254,11 @@
 /** A complete answer. */
 struct answer_whole
 {
-  call_id id = 0;     ///< The call.
-  response_head head; ///< Status and headers.
-  load_report load;   ///< State of the server's queue.
-  std::string body;   ///< Whole body.
+  call_id id = 0;           ///< The call.
+  response_head head;       ///< Status and headers.
+  load_report load;         ///< State of the server's queue.
+  std::string body;         ///< Whole body.
+  std::int64_t held_ms = 0; ///< Time from the call's arrival to this message.
   bool operator==(const answer_whole&) const = default;
 };
 
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -10,9 +10,14 @@
 /** Longest time until the store's answer, besides the wait for a record. */
 static constexpr std::int64_t STORE_TIMEOUT_MS = 500;
 
-/** Longest silence of a peer that was asked for its configuration: several round trips between
- * regions, and less than half of the time within which a version has to be in force. */
-static constexpr int FETCH_SILENCE_MS = 800;
+/** Silence of a peer that was asked for its configuration, after which another one is asked too:
+ * several round trips between regions, and a third of the time within which a version has to be in
+ * force. */
+static constexpr int FETCH_OVERDUE_MS = 600;
+
+/** Silence after which such a peer is given up. Over a full link a round trip takes long, and
+ * beginning anew would add to the load. */
+static constexpr int FETCH_TIMEOUT_MS = 3000;
 
 /** Beacons that a reader of the store sends to all peers for a new version, one each tick. */
 static constexpr int VERSION_BROADCASTS = 3;
@@ -144,15 +149,13 @@
   call->socket = std::make_unique<framed_socket>(CONFIG_FRAME_LIMITS);
   call->socket->on_frame = [this, id](frame&& from) { take_copy(id, from); };
   call->socket->on_end = [this, id](link_end) { end_fetch(id, std::nullopt); };
-  // Over a full link a transfer takes long; beginning it anew would only add to the load.
-  call->socket->on_progress = [timeout = &call->timeout] { timeout->start(FETCH_SILENCE_MS); };
+  call->socket->on_progress = [timeout = &call->timeout] { timeout->start(); };
   call->timeout.setSingleShot(true);
-  QObject::connect(
-    &call->timeout, &QTimer::timeout, &context_, [this, id] { end_fetch(id, std::nullopt); });
-  call->timeout.start(FETCH_SILENCE_MS);
+  QObject::connect(&call->timeout, &QTimer::timeout, &context_, [this, id] { check_fetch(id); });
+  call->timeout.start(FETCH_OVERDUE_MS);
   const node_beacon& peer = peers_.peers().at(effect.node).beacon;
   call->socket->connect_to({ peer.host, static_cast<std::uint16_t>(options_.peers_port + 1) },
-                           FETCH_SILENCE_MS);
+                           FETCH_TIMEOUT_MS);
   call->socket->send(encode_config_transfer(config_question{ configs_.version() }));
   fetches_.emplace(id, std::move(call));
 }
@@ -190,6 +193,23 @@
   end_fetch(id, std::move(text));
 }
 
+void
+proxy_node::check_fetch(std::uint64_t id)
+{
+  const auto found = fetches_.find(id);
+  if (found == fetches_.end()) {
+    return;
+  }
+  config_transfer_call& call = *found->second;
+  if (call.is_overdue) {
+    end_fetch(id, std::nullopt);
+    return;
+  }
+  call.is_overdue = true;
+  call.timeout.start(FETCH_TIMEOUT_MS);
+  follow(copy_failed{ call.node });
+}
+
 void
 proxy_node::end_fetch(std::uint64_t id, std::optional<std::string> text)
 {
@@ -207,7 +227,7 @@
     &context_, [ended] {}, Qt::QueuedConnection);
   if (text) {
     follow(copy_received{ std::move(*text) });
-  } else {
+  } else if (!ended->is_overdue) {
     follow(copy_failed{ ended->node });
   }
 }
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -101,7 +101,8 @@
         const auto [exchange, attempt] = call->second;
         link.calls.erase(call);
         raise(exchange,
-              attempt_answered{ attempt, std::move(item.head), std::move(item.body), item.load });
+              attempt_answered{
+                attempt, std::move(item.head), std::move(item.body), item.load, item.held_ms });
       },
       [&](const call_refused& item) {
         const auto call = link.calls.find(item.id);
@@ -111,7 +112,8 @@
         const auto [exchange, attempt] = call->second;
         link.calls.erase(call);
         raise(exchange,
-              attempt_failed{ attempt, item.reason, item.result, item.retry_after_ms, item.load });
+              attempt_failed{
+                attempt, item.reason, item.result, item.retry_after_ms, item.load, item.held_ms });
       },
       [](const auto&) {}, // A pong has done its work by arriving.
     },
@@ -136,7 +138,8 @@
                           was_sent ? refusal::link_lost : refusal::unreachable,
                           was_sent ? outcome::unknown : outcome::not_run,
                           0,
-                          std::nullopt });
+                          std::nullopt,
+                          0 });
   }
 }
 
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -39,7 +39,8 @@
   struct config_transfer_call
   {
     std::unique_ptr<framed_socket> socket; ///< Its connection.
-    QTimer timeout;                        ///< Ends it when the peer falls silent.
+    QTimer timeout;                        ///< Looks for silence of the peer.
+    bool is_overdue = false;               ///< Another peer may be asked meanwhile.
     node_id node;                          ///< The peer.
     mono_ms started_at = 0;                ///< When the peer was asked.
   };
@@ -75,6 +76,7 @@
   void apply(const apply_config& effect);
   void fetch(const fetch_config& effect);
   void take_copy(std::uint64_t id, const frame& from);
+  void check_fetch(std::uint64_t id);
   void end_fetch(std::uint64_t id, std::optional<std::string> text);
   void accept_config_question(qintptr descriptor);
 
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -27,6 +27,7 @@
   const slot_ticket id = local != nullptr ? call.id : next_id_++;
   server_job& job = jobs_[id];
   job.origin = origin;
+  job.arrived_at = now;
   job.deadline = now + call.timeout_ms;
   job.request_id = platform::read_caller_fields(call.head).request_id;
   job.call = std::move(call);
@@ -155,24 +156,26 @@
     return;
   }
   const load_report report = slots_.report();
+  const std::int64_t held_ms = read_clocks().mono - job.arrived_at;
   const job_origin origin = job.origin;
-  std::visit(overloaded{
-               [&](const local_origin& from) {
-                 end_job(id);
-                 raise(from.exchange,
-                       attempt_answered{
-                         from.attempt, std::move(answer.head), std::move(answer.body), report });
-               },
-               [&](const peer_origin& from) {
-                 const auto session = sessions_.find(from.session);
-                 if (session != sessions_.end()) {
-                   session->second.stream->send(answer_whole{
-                     from.call, std::move(answer.head), report, std::move(answer.body) });
-                 }
-                 end_job(id);
-               },
-             },
-             origin);
+  std::visit(
+    overloaded{
+      [&](const local_origin& from) {
+        end_job(id);
+        raise(from.exchange,
+              attempt_answered{
+                from.attempt, std::move(answer.head), std::move(answer.body), report, held_ms });
+      },
+      [&](const peer_origin& from) {
+        const auto session = sessions_.find(from.session);
+        if (session != sessions_.end()) {
+          session->second.stream->send(answer_whole{
+            from.call, std::move(answer.head), report, std::move(answer.body), held_ms });
+        }
+        end_job(id);
+      },
+    },
+    origin);
 }
 
 void
@@ -212,18 +215,20 @@
     return;
   }
   const load_report report = slots_.report();
+  const std::int64_t held_ms = read_clocks().mono - found->second.arrived_at;
   const job_origin origin = found->second.origin;
   std::visit(overloaded{
                [&](const local_origin& from) {
                  end_job(id);
-                 raise(from.exchange,
-                       attempt_failed{ from.attempt, reason, result, retry_after_ms, report });
+                 raise(
+                   from.exchange,
+                   attempt_failed{ from.attempt, reason, result, retry_after_ms, report, held_ms });
                },
                [&](const peer_origin& from) {
                  const auto session = sessions_.find(from.session);
                  if (session != sessions_.end()) {
                    session->second.stream->send(
-                     call_refused{ from.call, reason, result, retry_after_ms, report });
+                     call_refused{ from.call, reason, result, retry_after_ms, report, held_ms });
                  }
                  end_job(id);
                },
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -136,6 +136,7 @@
     job_origin origin;                            ///< Who asked.
     call_open call;                               ///< The request.
     std::string request_id;                       ///< As its caller sent it.
+    mono_ms arrived_at = 0;                       ///< When it came here.
     mono_ms deadline = 0;                         ///< When it has to be over.
     server_stream_ptr stream;                     ///< Its connection, once it runs.
     std::optional<timer_queue::timer_id> timeout; ///< Ends it.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -66,6 +66,8 @@
   bool may_repeat(outcome result);
   /** Ends an attempt in the eyes of the proxy. */
   void close(attempt_number attempt);
+  /** Notes how long an attempt took on the way to another region and back. */
+  void note_transit(attempt_number attempt, std::int64_t held_ms);
   /** Drops all open attempts. */
   void drop_open();
   /** Whether an attempt is open. */
@@ -165,17 +167,29 @@
 bool
 exchange_handler::try_server()
 {
-  choice_request request{ call_.service, {}, expected_bytes() };
+  choice_request request{ call_.service, {}, expected_bytes(), {} };
   for (const exchange_attempt& attempt : call_.attempts) {
     request.excluded.insert(attempt.node);
   }
+  request.is_open_path = [&](const std::string& region) {
+    return proxy_.paths.has_room(region, request.expected_bytes, now_);
+  };
   const std::optional<server_choice> choice =
     choose_server(*proxy_.view, proxy_.self, proxy_.sights, request, now_, proxy_.random);
   if (!choice) {
     return false;
   }
   const attempt_number attempt = call_.attempts.size();
-  call_.attempts.push_back({ choice->node->id, now_, true, true });
+  const bool is_far = choice->distance == server_distance::far;
+  call_.attempts.push_back({ choice->node->id,
+                             now_,
+                             true,
+                             true,
+                             is_far ? choice->node->region : std::string(),
+                             request.expected_bytes });
+  if (is_far) {
+    proxy_.paths.note_sent(choice->node->region, request.expected_bytes, now_);
+  }
   proxy_.sights.note_sent(choice->node->id);
   effects_.emplace_back(send_attempt{ attempt,
                                       choice->node->id,
@@ -188,8 +202,12 @@
 void
 exchange_handler::close(attempt_number attempt)
 {
-  call_.attempts[attempt].is_open = false;
-  proxy_.sights.note_ended(call_.attempts[attempt].node);
+  exchange_attempt& ended = call_.attempts[attempt];
+  ended.is_open = false;
+  proxy_.sights.note_ended(ended.node);
+  if (!ended.far_region.empty()) {
+    proxy_.paths.note_ended(ended.far_region, ended.bytes);
+  }
 }
 
 bool
@@ -208,6 +226,7 @@
     return;
   }
   close(event.attempt);
+  note_transit(event.attempt, event.held_ms);
   ++call_.arrivals;
   const node_id& node = call_.attempts[event.attempt].node;
   const bool is_failure = event.head.status >= STATUS_INTERNAL_ERROR;
@@ -236,6 +255,7 @@
   close(event.attempt);
   const node_id& node = call_.attempts[event.attempt].node;
   if (event.load) {
+    note_transit(event.attempt, event.held_ms);
     proxy_.sights.note_load(node, *event.load, now_);
   }
   const bool is_node_lost =
@@ -290,6 +310,15 @@
   refuse(STATUS_UNAVAILABLE, reason, wait);
 }
 
+void
+exchange_handler::note_transit(attempt_number attempt, std::int64_t held_ms)
+{
+  const exchange_attempt& ended = call_.attempts[attempt];
+  if (!ended.far_region.empty() && path_budget::is_short(ended.bytes)) {
+    proxy_.paths.note_transit(ended.far_region, now_ - ended.sent_at - held_ms, now_);
+  }
+}
+
 void
 exchange_handler::drop_open()
 {
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -1,6 +1,7 @@
 // The course of one request at the proxy where its caller is connected: which server it goes to,
 // whether it is sent again, and what the caller is told. Events in, effects out.
 #pragma once
+#include "path_budget.h"
 #include "retry_allowance.h"
 #include "server_choice.h"
 #include "table/refusal_table.h"
@@ -27,6 +28,7 @@
   response_head head;         ///< Status and headers.
   std::string body;           ///< Whole body.
   load_report load;           ///< State of the server's queue.
+  std::int64_t held_ms = 0;   ///< Time that the server's node had the request.
 };
 
 /** An attempt ended without a whole answer. */
@@ -37,6 +39,7 @@
   outcome result = outcome::unknown;   ///< Whether it ran.
   std::int64_t retry_after_ms = 0;     ///< When a new try may succeed; 0: not known.
   std::optional<load_report> load;     ///< State of the server's queue, if its node sent it.
+  std::int64_t held_ms = 0;            ///< Time that the server's node had the request.
 };
 
 /** The deadline, or the route's timeout, passed. */
@@ -101,6 +104,8 @@
   mono_ms sent_at = 0;      ///< When.
   bool is_open = true;      ///< Neither ended nor dropped.
   bool may_have_run = true; ///< Until the node says that it didn't.
+  std::string far_region;   ///< Region that it went to; empty: the proxy's own.
+  double bytes = 0;         ///< Expected bytes on the way.
 };
 
 /** One request at its caller's proxy. */
@@ -129,6 +134,7 @@
   node_beacon self;                                 ///< This node.
   peer_view_ptr view;                               ///< The nodes that live, this one included.
   server_sights sights;                             ///< What this proxy sees of the servers.
+  path_budget paths;                                ///< What may be under way to other regions.
   std::map<service_id, retry_allowance> allowances; ///< By service.
   std::unordered_map<std::string, std::vector<double>>
     split_debts; ///< Requests that each part of a split is behind, by rule.
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -5,6 +5,7 @@
 #include "exchange_policy.h"     // IWYU pragma: export
 #include "key_book.h"            // IWYU pragma: export
 #include "key_policy.h"          // IWYU pragma: export
+#include "path_budget.h"         // IWYU pragma: export
 #include "pick_policy.h"         // IWYU pragma: export
 #include "retry_allowance.h"     // IWYU pragma: export
 #include "retry_policy.h"        // IWYU pragma: export
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -176,6 +176,10 @@
     if (request.excluded.contains(id)) {
       continue;
     }
+    if (distance == server_distance::far && request.is_open_path &&
+        !request.is_open_path(node.region)) {
+      continue;
+    }
     const double way = way_cost(distance, request.expected_bytes);
     const double score = score_of(node, way, sight, now) + jitter(random);
     const server_choice choice{ &node, distance, score };
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -5,6 +5,7 @@
 #include "connection/connection.h"
 #include "pick_policy.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -76,6 +77,8 @@
   service_id service;         ///< The service.
   std::set<node_id> excluded; ///< Nodes that the request was at already.
   double expected_bytes = 0;  ///< Request and answer together, as such ones had.
+  std::function<bool(const std::string&)>
+    is_open_path; ///< Whether the way to another region has room; not set: it has.
 };
 
 /** A chosen server. */
