Choose servers by the risk of a late answer

Cause: servers of a service differ threefold in speed (reports: lookups late at half of the slots in use), and the choice counted only how full a server is, so slow ones got as many for each slot. Besides, a beacon that was up to seconds old overwrote what an answer had just said of the load, and the queue learnt nothing from requests that were given up on a slot. Changed: the proxy beside a server compares its times with those that are usual over all servers and reports the quotient; the choice weighs the square of the expected time, as a part of the objective, against the way.

--- a/src/connection/beacon_codec.cpp
+++ b/src/connection/beacon_codec.cpp
@@ -9,7 +9,7 @@
 
 /** Version of the beacon's format. Another one is refused, so that builds don't misread each other.
  */
-static constexpr std::uint64_t BEACON_FORMAT = 1;
+static constexpr std::uint64_t BEACON_FORMAT = 2;
 
 /** Bytes of a datagram before its records. */
 static constexpr std::size_t LIST_HEAD_BYTES = 4;
@@ -31,6 +31,7 @@
                        static_cast<unsigned>(beacon.server.state),
                        beacon.running,
                        beacon.waiting,
+                       beacon.slowness_permille,
                        beacon.config_version,
                        beacon.is_store_reachable,
                        beacon.is_leaving });
@@ -125,7 +126,7 @@
 static leaf::result<node_beacon>
 parse_beacon(const json& list)
 {
-  static constexpr std::size_t FIELDS = 16;
+  static constexpr std::size_t FIELDS = 17;
   if (!list.is_array() || list.size() != FIELDS) {
     return bad_message();
   }
@@ -139,8 +140,9 @@
     read_item(*item++, result.processor_permille) && read_item(*item++, result.server.service) &&
     read_item(*item++, result.server.instance) && read_item(*item++, result.server.slots) &&
     read_item(*item++, state) && read_item(*item++, result.running) &&
-    read_item(*item++, result.waiting) && read_item(*item++, result.config_version) &&
-    read_item(*item++, result.is_store_reachable) && read_item(*item++, result.is_leaving);
+    read_item(*item++, result.waiting) && read_item(*item++, result.slowness_permille) &&
+    read_item(*item++, result.config_version) && read_item(*item++, result.is_store_reachable) &&
+    read_item(*item++, result.is_leaving);
   const bool is_valid = is_read && !result.id.empty() && result.boot != 0 &&
                         state < SERVER_STATE_ROWS.size() && parse_endpoint(result.host + ":1");
   if (!is_valid) {
--- a/src/connection/traffic_message_codec.cpp
+++ b/src/connection/traffic_message_codec.cpp
@@ -41,7 +41,7 @@
 static json
 load_to_json(const load_report& load)
 {
-  return { load.running, load.waiting, load.slots };
+  return { load.running, load.waiting, load.slots, load.slowness_permille };
 }
 
 /** Reads a load report. */
@@ -49,8 +49,9 @@
 parse_load(const json& head)
 {
   BOOST_LEAF_AUTO(list, read_array(head, "load"));
+  static constexpr std::size_t FIELDS = 4;
   const bool is_valid =
-    list->size() == 3 && std::all_of(list->begin(), list->end(), [](const json& item) {
+    list->size() == FIELDS && std::all_of(list->begin(), list->end(), [](const json& item) {
       return item.is_number_unsigned() && item.get<std::uint64_t>() <= UINT32_MAX;
     });
   if (!is_valid) {
@@ -58,7 +59,8 @@
   }
   return load_report{ (*list)[0].get<std::uint32_t>(),
                       (*list)[1].get<std::uint32_t>(),
-                      (*list)[2].get<std::uint32_t>() };
+                      (*list)[2].get<std::uint32_t>(),
+                      (*list)[3].get<std::uint32_t>() };
 }
 
 /** Fills the head of each kind of message. */
@@ -86,7 +88,8 @@
              { "caller", message.caller_service },
              { "work", message.work },
              { "priority", message.priority },
-             { "objective", message.objective_ms } };
+             { "objective", message.objective_ms },
+             { "usual", message.usual_ms } };
   }
   json operator()(const call_cancel& message) { return { { "id", message.id } }; }
   json operator()(const call_credit& message)
@@ -135,7 +138,8 @@
              { "status", message.head.status },
              { "headers", headers_to_json(message.head.headers) },
              { "load", load_to_json(message.load) },
-             { "held", message.held_ms } };
+             { "held", message.held_ms },
+             { "ran", message.ran_ms } };
   }
   json operator()(const link_ping& message) { return { { "id", message.id } }; }
   json operator()(const link_pong& message) { return { { "id", message.id } }; }
@@ -173,6 +177,7 @@
   BOOST_LEAF_ASSIGN(result.work, read_member<std::string>(head, "work"));
   BOOST_LEAF_ASSIGN(result.priority, read_member<std::int64_t>(head, "priority"));
   BOOST_LEAF_ASSIGN(result.objective_ms, read_member<std::int64_t>(head, "objective"));
+  BOOST_LEAF_ASSIGN(result.usual_ms, read_member<std::int64_t>(head, "usual"));
   result.body = std::move(payload);
   return traffic_message(std::move(result));
 }
@@ -199,6 +204,7 @@
   BOOST_LEAF_ASSIGN(result.head.headers, parse_headers(head));
   BOOST_LEAF_ASSIGN(result.load, parse_load(head));
   BOOST_LEAF_ASSIGN(result.held_ms, read_member<std::int64_t>(head, "held"));
+  BOOST_LEAF_ASSIGN(result.ran_ms, read_member<std::int64_t>(head, "ran"));
   result.body = std::move(payload);
   return traffic_message(std::move(result));
 }
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -136,6 +136,8 @@
   std::uint32_t running = 0; ///< Requests on slots.
   std::uint32_t waiting = 0; ///< Requests in the queue.
   std::uint32_t slots = 0;   ///< Slots in use by policy.
+  std::uint32_t slowness_permille =
+    1000; ///< Time that requests take on a slot there, in thousandths of what is usual.
   bool operator==(const load_report&) const = default;
 };
 
@@ -158,7 +160,9 @@
   std::string work;                          ///< Kind of work, by which service times are learnt.
   std::int64_t priority = 0;                 ///< Rank in the queue; 0 is the highest.
   std::int64_t objective_ms = 0;             ///< Time left in which an answer is fully useful.
-  std::string body;                          ///< Whole body.
+  std::int64_t usual_ms =
+    0;              ///< Time that such requests take on a slot of any server; 0: not known.
+  std::string body; ///< Whole body.
   bool operator==(const call_open&) const = default;
 };
 
@@ -259,6 +263,7 @@
   load_report load;         ///< State of the server's queue.
   std::string body;         ///< Whole body.
   std::int64_t held_ms = 0; ///< Time from the call's arrival to this message.
+  std::int64_t ran_ms = 0;  ///< Part of it on a slot of the server.
   bool operator==(const answer_whole&) const = default;
 };
 
--- a/src/process/beacon_type.h
+++ b/src/process/beacon_type.h
@@ -20,19 +20,21 @@
 /** A datagram that each node sends to its peers, at an interval and on each change. */
 struct node_beacon
 {
-  node_id id;                           ///< Sender.
-  std::uint64_t boot = 0;               ///< Random number of the sender's process.
-  std::uint64_t sequence = 0;           ///< Grows with each beacon of one process.
-  std::string region;                   ///< Region of the sender.
-  std::string zone;                     ///< Availability zone of the sender.
-  std::string host;                     ///< IP number of the sender.
-  std::uint32_t processor_permille = 0; ///< Thousandths of a core that it may use.
-  server_notice server;                 ///< The server beside it.
-  std::uint32_t running = 0;            ///< Requests on the server's slots.
-  std::uint32_t waiting = 0;            ///< Requests that wait for a slot.
-  std::uint64_t config_version = 0;     ///< Configuration in force at the sender; 0: none.
-  bool is_store_reachable = false;      ///< Its latest call to the store succeeded.
-  bool is_leaving = false;              ///< The sender's process is about to end.
+  node_id id;                             ///< Sender.
+  std::uint64_t boot = 0;                 ///< Random number of the sender's process.
+  std::uint64_t sequence = 0;             ///< Grows with each beacon of one process.
+  std::string region;                     ///< Region of the sender.
+  std::string zone;                       ///< Availability zone of the sender.
+  std::string host;                       ///< IP number of the sender.
+  std::uint32_t processor_permille = 0;   ///< Thousandths of a core that it may use.
+  server_notice server;                   ///< The server beside it.
+  std::uint32_t running = 0;              ///< Requests on the server's slots.
+  std::uint32_t waiting = 0;              ///< Requests that wait for a slot.
+  std::uint32_t slowness_permille = 1000; ///< Time that requests take on a slot of the server, in
+                                          ///< thousandths of what is usual.
+  std::uint64_t config_version = 0;       ///< Configuration in force at the sender; 0: none.
+  bool is_store_reachable = false;        ///< Its latest call to the store succeeded.
+  bool is_leaving = false;                ///< The sender's process is about to end.
   bool operator==(const node_beacon&) const = default;
 };
 
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -184,6 +184,7 @@
   call.work = state.rule->name;
   call.priority = state.rule->priority;
   call.objective_ms = state.started_at + state.rule->objective_ms - read_clocks().mono;
+  call.usual_ms = effect.usual_ms;
   call.body = state.body;
   return call;
 }
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -101,8 +101,12 @@
         const auto [exchange, attempt] = call->second;
         link.calls.erase(call);
         raise(exchange,
-              attempt_answered{
-                attempt, std::move(item.head), std::move(item.body), item.load, item.held_ms });
+              attempt_answered{ attempt,
+                                std::move(item.head),
+                                std::move(item.body),
+                                item.load,
+                                item.held_ms,
+                                item.ran_ms });
       },
       [&](const call_refused& item) {
         const auto call = link.calls.find(item.id);
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -204,6 +204,7 @@
   const load_report load = traffic_.load();
   self_.running = load.running;
   self_.waiting = load.waiting;
+  self_.slowness_permille = load.slowness_permille;
 }
 
 void
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -48,7 +48,8 @@
     return id;
   }
   const slot_arrival arrival{
-    id, job.call.work, job.call.priority, now + job.call.objective_ms, job.deadline
+    id,           job.call.work,    job.call.priority, now + job.call.objective_ms,
+    job.deadline, job.call.usual_ms
   };
   job.timeout =
     timers_.schedule(job.call.timeout_ms + DEADLINE_SLACK_MS, [this, id] { expire_job(id); });
@@ -114,6 +115,7 @@
   }
   server_job& job = found->second;
   const mono_ms now = read_clocks().mono;
+  job.started_at = now;
   count(counter_id::admitted);
   request_head head = job.call.head;
   platform::write_server_fields(
@@ -156,21 +158,27 @@
     return;
   }
   const load_report report = slots_.report();
-  const std::int64_t held_ms = read_clocks().mono - job.arrived_at;
+  const mono_ms now = read_clocks().mono;
+  const std::int64_t held_ms = now - job.arrived_at;
+  const std::int64_t ran_ms = now - job.started_at;
   const job_origin origin = job.origin;
   std::visit(
     overloaded{
       [&](const local_origin& from) {
         end_job(id);
         raise(from.exchange,
-              attempt_answered{
-                from.attempt, std::move(answer.head), std::move(answer.body), report, held_ms });
+              attempt_answered{ from.attempt,
+                                std::move(answer.head),
+                                std::move(answer.body),
+                                report,
+                                held_ms,
+                                ran_ms });
       },
       [&](const peer_origin& from) {
         const auto session = sessions_.find(from.session);
         if (session != sessions_.end()) {
           session->second.stream->send(answer_whole{
-            from.call, std::move(answer.head), report, std::move(answer.body), held_ms });
+            from.call, std::move(answer.head), report, std::move(answer.body), held_ms, ran_ms });
         }
         end_job(id);
       },
@@ -263,7 +271,11 @@
     found->second.stream->abort();
   }
   refuse_job(id, refusal::timed_out, was_sent ? outcome::unknown : outcome::not_run, 0);
-  raise_slot(slot_cancelled{ id });
+  if (was_sent) {
+    raise_slot(slot_overdue{ id });
+  } else {
+    raise_slot(slot_cancelled{ id });
+  }
 }
 
 void
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -127,7 +127,7 @@
     proxy_.sights.forget_absent(*view);
     for (const auto& [id, node] : *view) {
       if (id != options_.node_id) {
-        proxy_.sights.note_load(id, { node.running, node.waiting, node.server.slots }, now);
+        proxy_.sights.note_beacon(node, now);
       }
     }
     std::erase_if(links_, [&view](auto& item) {
@@ -144,7 +144,8 @@
 proxy_traffic::set_server(const server_notice& notice)
 {
   post([this, notice] {
-    if (notice.instance != server_.instance) {
+    const bool is_new = notice.instance != server_.instance;
+    if (is_new) {
       for (const idle_stream& item : idle_) {
         item.stream->abort();
       }
@@ -153,7 +154,7 @@
     server_ = notice;
     const bool takes_work =
       notice.state == server_state::ready || notice.state == server_state::cold;
-    raise_slot(slot_server{ notice.slots, takes_work });
+    raise_slot(slot_server{ notice.slots, takes_work, is_new });
   });
 }
 
@@ -184,6 +185,7 @@
   const load_report report = slots_.report();
   running_ = report.running;
   waiting_ = report.waiting;
+  slowness_permille_ = report.slowness_permille;
   lines_dropped_ = log_budget_.routine_dropped() + log_budget_.failures_dropped();
   failure_lines_dropped_ = log_budget_.failures_dropped();
 }
@@ -191,7 +193,7 @@
 load_report
 proxy_traffic::load() const
 {
-  return { running_.load(), waiting_.load(), 0 };
+  return { running_.load(), waiting_.load(), 0, slowness_permille_.load() };
 }
 
 } // namespace shallotfield
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -137,6 +137,7 @@
     call_open call;                               ///< The request.
     std::string request_id;                       ///< As its caller sent it.
     mono_ms arrived_at = 0;                       ///< When it came here.
+    mono_ms started_at = 0;                       ///< When the server got it.
     mono_ms deadline = 0;                         ///< When it has to be over.
     server_stream_ptr stream;                     ///< Its connection, once it runs.
     std::optional<timer_queue::timer_id> timeout; ///< Ends it.
@@ -216,6 +217,7 @@
   std::atomic<std::size_t> open_requests_{ 0 };           ///< For the control thread.
   std::atomic<std::uint32_t> running_{ 0 };               ///< For the control thread.
   std::atomic<std::uint32_t> waiting_{ 0 };               ///< For the control thread.
+  std::atomic<std::uint32_t> slowness_permille_{ 0 };     ///< For the control thread.
   std::thread thread_; ///< The thread; last, so that it ends first.
 };
 
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -22,6 +22,10 @@
 /** Weight of the latest request in the average of bytes: about the last twenty count. */
 static constexpr double BYTES_WEIGHT = 0.05;
 
+/** Weight of the latest request in the usual time on a slot: about the last fifty count, over many
+ * servers. */
+static constexpr double USUAL_WEIGHT = 0.02;
+
 static constexpr unsigned STATUS_OK = 200;
 static constexpr unsigned STATUS_REDIRECT = 300;
 static constexpr unsigned STATUS_NOT_FOUND = 404;
@@ -59,6 +63,10 @@
   bool try_server();
   /** Bytes of the request and its answer, by what such requests had before. */
   double expected_bytes() const;
+  /** Time that such requests take on a slot, whichever server runs them; 0: not known. */
+  std::int64_t usual_ms() const;
+  /** Notes how long the request was on a slot. */
+  void note_time(std::int64_t ran_ms);
   /** Notes the bytes of the request and its answer. */
   void note_bytes(std::size_t answer_bytes);
   /** Whether the request may go to another server after one that saw it. @param result Whether it
@@ -164,10 +172,31 @@
   proxy_.expected_bytes[call_.rule->name] = known + BYTES_WEIGHT * (bytes - known);
 }
 
+std::int64_t
+exchange_handler::usual_ms() const
+{
+  const auto found = proxy_.usual_ms.find(call_.rule->name);
+  return found == proxy_.usual_ms.end() ? 0 : std::llround(found->second);
+}
+
+void
+exchange_handler::note_time(std::int64_t ran_ms)
+{
+  const auto ran = static_cast<double>(ran_ms);
+  const auto [found, is_first] = proxy_.usual_ms.try_emplace(call_.rule->name, ran);
+  if (!is_first) {
+    found->second += USUAL_WEIGHT * (ran - found->second);
+  }
+}
+
 bool
 exchange_handler::try_server()
 {
-  choice_request request{ call_.service, {}, expected_bytes(), {} };
+  choice_request request{ call_.service, {}, expected_bytes(), 0, {} };
+  if (call_.rule->objective_ms > 0) {
+    request.usual_part =
+      static_cast<double>(usual_ms()) / static_cast<double>(call_.rule->objective_ms);
+  }
   for (const exchange_attempt& attempt : call_.attempts) {
     request.excluded.insert(attempt.node);
   }
@@ -195,7 +224,8 @@
                                       choice->node->id,
                                       choice->node->server.instance,
                                       call_.deadline - now_,
-                                      call_.arrivals > 0 });
+                                      call_.arrivals > 0,
+                                      usual_ms() });
   return true;
 }
 
@@ -241,6 +271,7 @@
   }
   if (!is_failure) {
     note_bytes(event.body.size());
+    note_time(event.ran_ms);
   }
   finish("answered", "server", event.head.status);
   effects_.emplace_back(give_answer{ event.head, event.body });
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -29,6 +29,7 @@
   std::string body;           ///< Whole body.
   load_report load;           ///< State of the server's queue.
   std::int64_t held_ms = 0;   ///< Time that the server's node had the request.
+  std::int64_t ran_ms = 0;    ///< Part of it on a slot of the server.
 };
 
 /** An attempt ended without a whole answer. */
@@ -63,6 +64,7 @@
   std::string instance;        ///< The server that is meant.
   std::int64_t timeout_ms = 0; ///< Time left until the deadline.
   bool is_repeat = false;      ///< An earlier attempt reached a server.
+  std::int64_t usual_ms = 0;   ///< Time that such requests take on a slot; 0: not known.
 };
 
 /** Tell a node that its answer is no longer wanted. */
@@ -139,9 +141,10 @@
   std::unordered_map<std::string, std::vector<double>>
     split_debts; ///< Requests that each part of a split is behind, by rule.
   std::unordered_map<std::string, double> expected_bytes; ///< Request and answer together, by rule.
-  retry_limits limits;                                    ///< Limits on repeats.
-  std::optional<mono_ms> ends_at; ///< When this process ends, once it is known.
-  random_source random;           ///< Random numbers.
+  std::unordered_map<std::string, double> usual_ms; ///< Time on a slot of any server, by rule.
+  retry_limits limits;                              ///< Limits on repeats.
+  std::optional<mono_ms> ends_at;                   ///< When this process ends, once it is known.
+  random_source random;                             ///< Random numbers.
 };
 
 /**
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -8,6 +8,10 @@
 /** Age at which a load report says nothing any more; beacons bring one about every half second. */
 static constexpr double REPORT_LIFETIME_MS = 2000;
 
+/** Age that the figures of a beacon may have on arrival. Those of an answer are fresh, so they hold
+ * against beacons for as long. */
+static constexpr mono_ms BEACON_DELAY_MS = 400;
+
 /** Weight of the latest result in the share of failures: about the last eight count. */
 static constexpr double FAILURE_WEIGHT = 0.12;
 
@@ -23,8 +27,15 @@
 /** How much a cold server counts as loaded: it works at about half of its speed. */
 static constexpr double COLD_PENALTY = 0.4;
 
+/** Least slowness that is believed: bounds what one server draws to itself. */
+static constexpr double SLOWNESS_MIN = 0.4;
+
+/** Part of the time until the objective that requests are taken to need until some were seen: they
+ * are set so that most answers come well before it. */
+static constexpr double UNKNOWN_PART = 0.25;
+
 /** Random part of a score: spreads the choices of many proxies over servers that look alike. */
-static constexpr double SCORE_JITTER = 0.02;
+static constexpr double SCORE_JITTER = 0.01;
 
 /** What the distance counts, in units of a server's load. */
 struct distance_cost
@@ -73,6 +84,21 @@
   sight.sent_since = 0;
 }
 
+void
+server_sights::note_beacon(const node_beacon& node, mono_ms now)
+{
+  server_sight& sight = sights_[node.id];
+  const bool is_same_process = sight.boot == node.boot;
+  const bool is_seen = is_same_process && sight.sequence == node.sequence;
+  sight.boot = node.boot;
+  sight.sequence = node.sequence;
+  if (is_seen || (is_same_process && now - sight.load_at < BEACON_DELAY_MS)) {
+    return;
+  }
+  note_load(
+    node.id, { node.running, node.waiting, node.server.slots, node.slowness_permille }, now);
+}
+
 void
 server_sights::note_result(const node_id& node, bool is_failure, mono_ms now)
 {
@@ -137,13 +163,27 @@
   return cost.each + cost.each_kb * expected_bytes / BYTES_PER_KB;
 }
 
+/** How much longer than usual requests take there. */
+static double
+slowness_of(const server_sight& sight)
+{
+  return std::max(SLOWNESS_MIN, static_cast<double>(sight.load.slowness_permille) / 1000);
+}
+
 /** The score of a server; less is better. */
 static double
-score_of(const node_beacon& node, double way, const server_sight& sight, mono_ms now)
+score_of(const node_beacon& node,
+         double usual_part,
+         double way,
+         const server_sight& sight,
+         mono_ms now)
 {
-  // A server with free slots answers about as fast as an idle one; a queue costs ever more.
+  // The time that the request would take, as a part of the time until its objective. A server with
+  // free slots answers about as fast as an idle one; a queue costs ever more. The risk of an answer
+  // that is late grows faster than that time: work and servers vary.
   const double load = expected_load(node, sight, now);
-  double score = load * load * load + way;
+  const double part = usual_part * slowness_of(sight) * (1 + load * load * load);
+  double score = part * part + way;
   if (node.server.state == server_state::cold) {
     score += COLD_PENALTY;
   }
@@ -164,6 +204,7 @@
   std::optional<server_choice> avoided;
   server_distance nearest = server_distance::far;
   std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
+  const double usual_part = request.usual_part > 0 ? request.usual_part : UNKNOWN_PART;
   for (const auto& [id, node] : view) {
     const bool takes_work =
       node.server.state == server_state::ready || node.server.state == server_state::cold;
@@ -181,7 +222,7 @@
       continue;
     }
     const double way = way_cost(distance, request.expected_bytes);
-    const double score = score_of(node, way, sight, now) + jitter(random);
+    const double score = score_of(node, usual_part, way, sight, now) + jitter(random);
     const server_choice choice{ &node, distance, score };
     // A node that is leaving, or can't be reached, is better than none.
     const bool is_doubtful = node.is_leaving || sight.avoid_until > now;
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -19,6 +19,8 @@
   load_report load;             ///< What the server's node reported last.
   std::uint32_t sent_since = 0; ///< Requests sent since that report.
   mono_ms load_at = 0;          ///< When the report arrived.
+  std::uint64_t boot = 0;       ///< Process of the latest beacon.
+  std::uint64_t sequence = 0;   ///< Number of the latest beacon.
   double failure_share = 0;     ///< Recent share of requests that failed there.
   mono_ms failed_at = 0;        ///< When the latest failed.
   mono_ms avoid_until = 0;      ///< The node couldn't be reached; not to be tried until then.
@@ -34,6 +36,9 @@
   void note_ended(const node_id& node);
   /** Notes a report. */
   void note_load(const node_id& node, const load_report& load, mono_ms now);
+  /** Notes the figures of a node's beacon, unless it was seen already or an answer brought later
+   * ones. */
+  void note_beacon(const node_beacon& node, mono_ms now);
   /** Notes whether the server answered properly. */
   void note_result(const node_id& node, bool is_failure, mono_ms now);
   /** Notes that the node can't be reached. */
@@ -77,6 +82,8 @@
   service_id service;         ///< The service.
   std::set<node_id> excluded; ///< Nodes that the request was at already.
   double expected_bytes = 0;  ///< Request and answer together, as such ones had.
+  double usual_part = 0; ///< Usual time on a slot, as a part of the time until the objective; 0:
+                         ///< not known.
   std::function<bool(const std::string&)>
     is_open_path; ///< Whether the way to another region has room; not set: it has.
 };
--- a/src/request/slot_policy.cpp
+++ b/src/request/slot_policy.cpp
@@ -12,6 +12,16 @@
 /** Kinds of work whose times are kept apart; more are taken as average work. */
 static constexpr std::size_t WORK_KINDS_MAX = 1000;
 
+/** Requests over which the time on a slot is compared with the usual one. Fewer would show the
+ * spread of the work rather than the server. */
+static constexpr double COMPARED_REQUESTS = 20;
+
+/** Bounds of one such comparison: a single long request says little about the server. */
+static constexpr double RATIO_MIN = 0.2;
+static constexpr double RATIO_MAX = 4;
+
+static constexpr double PERMILLE = 1000;
+
 /** Share of its expected time that a running request is taken to need at least. */
 static constexpr double LEAST_REMAINING = 0.2;
 
@@ -92,14 +102,45 @@
     return;
   }
   if (event.was_whole) {
-    const double taken = static_cast<double>(now - found->second.started_at);
-    average_ms_ = average_ms_ == 0 ? taken : average_ms_ + AVERAGE_WEIGHT * (taken - average_ms_);
-    const auto known = service_ms_.find(found->second.work);
-    if (known != service_ms_.end()) {
-      known->second += AVERAGE_WEIGHT * (taken - known->second);
-    } else if (service_ms_.size() < WORK_KINDS_MAX) {
-      service_ms_.emplace(found->second.work, taken);
-    }
+    note_time(found->second, static_cast<double>(now - found->second.started_at));
+  }
+  running_.erase(found);
+}
+
+void
+slot_queue::note_time(const running_request& request, double taken_ms)
+{
+  average_ms_ =
+    average_ms_ == 0 ? taken_ms : average_ms_ + AVERAGE_WEIGHT * (taken_ms - average_ms_);
+  const auto known = service_ms_.find(request.work);
+  if (known != service_ms_.end()) {
+    known->second += AVERAGE_WEIGHT * (taken_ms - known->second);
+  } else if (service_ms_.size() < WORK_KINDS_MAX) {
+    service_ms_.emplace(request.work, taken_ms);
+  }
+  if (request.usual_ms > 0) {
+    const double ratio =
+      std::clamp(taken_ms / static_cast<double>(request.usual_ms), RATIO_MIN, RATIO_MAX);
+    ++compared_;
+    slowness_ +=
+      (ratio - slowness_) / std::min(COMPARED_REQUESTS, static_cast<double>(compared_) + 1);
+  }
+}
+
+void
+slot_queue::on(const slot_overdue& event, mono_ms now)
+{
+  const auto found = running_.find(event.id);
+  if (found == running_.end()) {
+    return;
+  }
+  // It would have taken longer still. What is short of the usual time says nothing: the request had
+  // little time left.
+  const double taken = static_cast<double>(now - found->second.started_at);
+  const double usual = found->second.usual_ms > 0 ? static_cast<double>(found->second.usual_ms)
+                                                  : expected_ms(found->second.work);
+  if (taken >= usual) {
+    note_time(found->second, taken);
   }
   running_.erase(found);
 }
@@ -118,6 +159,12 @@
 void
 slot_queue::on(const slot_server& event, mono_ms /*now*/)
 {
+  if (event.is_new) {
+    slowness_ = 1;
+    compared_ = 0;
+    service_ms_.clear();
+    average_ms_ = 0;
+  }
   slots_ = event.slots;
   takes_work_ = event.takes_work;
   if (!takes_work_) {
@@ -152,7 +199,7 @@
   }
   while (running_.size() < slots_ && !queue_.empty()) {
     const slot_ticket id = std::get<slot_ticket>(*queue_.begin());
-    running_.emplace(id, running_request{ waiting_.at(id).work, now });
+    running_.emplace(id, running_request{ waiting_.at(id).work, now, waiting_.at(id).usual_ms });
     waiting_.erase(id);
     queue_.erase(queue_.begin());
     effects_.emplace_back(slot_start{ id });
@@ -164,7 +211,8 @@
 {
   return { static_cast<std::uint32_t>(running_.size()),
            static_cast<std::uint32_t>(waiting_.size()),
-           takes_work_ ? slots_ : 0 };
+           takes_work_ ? slots_ : 0,
+           static_cast<std::uint32_t>(slowness_ * PERMILLE) };
 }
 
 } // namespace shallotfield
--- a/src/request/slot_policy.h
+++ b/src/request/slot_policy.h
@@ -23,6 +23,7 @@
   std::int64_t priority = 0; ///< Rank; 0 is the highest.
   mono_ms objective_at = 0;  ///< Until when its answer is fully useful.
   mono_ms deadline = 0;      ///< When it has to be over.
+  std::int64_t usual_ms = 0; ///< Time that such requests take on slots of any server; 0: not known.
 };
 
 /** A request that left its slot. */
@@ -32,6 +33,12 @@
   bool was_whole = false; ///< The server answered, so that its time says how long work takes.
 };
 
+/** A request that was given up on its slot, since its time was over. */
+struct slot_overdue
+{
+  slot_ticket id = 0; ///< Number of the request.
+};
+
 /** A request whose answer is no longer wanted. */
 struct slot_cancelled
 {
@@ -43,6 +50,7 @@
 {
   std::uint32_t slots = 0; ///< Requests that it runs at once.
   bool takes_work = false; ///< Whether new requests may go there.
+  bool is_new = false;     ///< Another incarnation, of which nothing is known.
 };
 
 /** Some time passed. */
@@ -50,7 +58,7 @@
 {};
 
 using slot_event =
-  std::variant<slot_arrival, slot_finished, slot_cancelled, slot_server, slot_timer>;
+  std::variant<slot_arrival, slot_finished, slot_overdue, slot_cancelled, slot_server, slot_timer>;
 
 /** Send a request to the server now. */
 struct slot_start
@@ -100,15 +108,19 @@
   /** A request on a slot. */
   struct running_request
   {
-    std::string work;       ///< Kind of work.
-    mono_ms started_at = 0; ///< When.
+    std::string work;          ///< Kind of work.
+    mono_ms started_at = 0;    ///< When.
+    std::int64_t usual_ms = 0; ///< As its arrival said.
   };
 
   void on(const slot_arrival& event, mono_ms now);
   void on(const slot_finished& event, mono_ms now);
+  void on(const slot_overdue& event, mono_ms now);
   void on(const slot_cancelled& event, mono_ms now);
   void on(const slot_server& event, mono_ms now);
   void on(const slot_timer& event, mono_ms now);
+  /** Notes how long a request took, or has taken so far. */
+  void note_time(const running_request& request, double taken_ms);
   /** Starts what can start; refuses what is too late. */
   void advance(mono_ms now);
   /** Time until a slot is free for a request of this rank. */
@@ -126,6 +138,8 @@
   std::set<rank> queue_;                           ///< Order of the queue.
   std::map<std::string, double> service_ms_;       ///< Average time on a slot, by kind of work.
   double average_ms_ = 0;                          ///< The same over all kinds; 0: not known.
+  double slowness_ = 1;                            ///< Time on a slot against what is usual.
+  std::size_t compared_ = 0;                       ///< Requests that it rests on.
   std::vector<slot_effect> effects_;               ///< Gathered by handle().
 };
 
--- a/tests/connection/proxy_codec_test.cpp
+++ b/tests/connection/proxy_codec_test.cpp
@@ -11,8 +11,10 @@
 static node_beacon
 make_beacon()
 {
-  return { "a", 1, 2, "west", "west-a", "10.0.0.1", 200, { "shop", "i-1", 18, server_state::cold },
-           3,   4, 5, true,   true };
+  return { "a",      1,          2,   "west",
+           "west-a", "10.0.0.1", 200, { "shop", "i-1", 18, server_state::cold },
+           3,        4,          900, 5,
+           true,     true };
 }
 
 BOOST_AUTO_TEST_SUITE(proxy_codecs)
--- /dev/null
+++ b/tests/request/choice_test.cpp
@@ -0,0 +1,117 @@
+// Tests of which server a request goes to.
+#include "request/request.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+/** A proxy in zone west-a, and servers of `shop` with 10 slots each. */
+struct choice_fixture
+{
+  /** Adds a node with a ready server. */
+  void add(const node_id& id, const std::string& zone)
+  {
+    node_beacon node;
+    node.id = id;
+    node.boot = 1;
+    node.sequence = 1;
+    node.region = zone.substr(0, zone.find('-'));
+    node.zone = zone;
+    node.server = { "shop", "i-" + id, 10, server_state::ready };
+    view.emplace(id, node);
+  }
+
+  /** Notes the load of a server. @param slowness 1: usual. */
+  void note(const node_id& id, std::uint32_t running, double slowness = 1)
+  {
+    sights.note_load(id, { running, 0, 10, static_cast<std::uint32_t>(slowness * 1000) }, now);
+  }
+
+  /** @return How many of 200 requests go to a server. */
+  int count(const node_id& id, double bytes = 1000)
+  {
+    node_beacon self;
+    self.id = "self";
+    self.zone = "west-a";
+    self.region = "west";
+    int chosen = 0;
+    for (int i = 0; i < 200; ++i) {
+      choice_request request{ "shop", {}, bytes, 0.3, {} };
+      const auto choice = choose_server(view, self, sights, request, now, random);
+      chosen += choice && choice->node->id == id ? 1 : 0;
+    }
+    return chosen;
+  }
+
+  peer_view view;       ///< The nodes.
+  server_sights sights; ///< What the proxy sees.
+  random_source random; ///< Random numbers.
+  mono_ms now = 10'000; ///< Clock.
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_choices, choice_fixture)
+
+BOOST_AUTO_TEST_CASE(fast_servers_fill_up_before_slow_ones)
+{
+  // Servers of one service differ threefold in speed. At moderate load none has to wait for a slow
+  // one.
+  add("fast", "west-a");
+  add("slow", "west-a");
+  note("fast", 7, 0.7);
+  note("slow", 0, 2);
+  BOOST_TEST(count("fast") == 200);
+  note("fast", 16, 0.7);
+  BOOST_TEST(count("slow") == 200);
+}
+
+BOOST_AUTO_TEST_CASE(servers_that_look_alike_share_the_requests)
+{
+  add("one", "west-a");
+  add("two", "west-a");
+  note("one", 3);
+  note("two", 3);
+  BOOST_TEST(count("one") > 60);
+  BOOST_TEST(count("one") < 140);
+}
+
+BOOST_AUTO_TEST_CASE(answers_of_some_size_leave_the_zone_only_if_they_would_be_late)
+{
+  add("near", "west-a");
+  add("far", "west-b");
+  note("near", 5, 1.3);
+  note("far", 0, 0.7);
+  BOOST_TEST(count("near", 5000) == 200);
+  note("near", 14, 1.3);
+  BOOST_TEST(count("far", 5000) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(late_beacons_dont_hide_what_an_answer_said)
+{
+  add("one", "west-a");
+  add("two", "west-a");
+  sights.note_beacon(view.at("one"), now - 1000);
+  note("one", 9);
+  note("two", 2);
+  now += 100;
+  node_beacon old = view.at("one");
+  old.sequence = 2;
+  sights.note_beacon(old, now);
+  BOOST_TEST(count("two") == 200);
+  // The same beacon again is no news either, however late.
+  sights.note_load("one", { 9, 0, 10, 1000 }, now + 600);
+  now += 1100;
+  sights.note_beacon(old, now);
+  sights.note_load("two", { 2, 0, 10, 1000 }, now);
+  BOOST_TEST(count("two") == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_closed_way_is_no_choice)
+{
+  add("far", "east-a");
+  choice_request request{ "shop", {}, 90'000, 0.3, [](const std::string&) { return false; } };
+  node_beacon self;
+  self.region = "west";
+  BOOST_TEST(!choose_server(view, self, sights, request, now, random).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/request/exchange_test.cpp
+++ b/tests/request/exchange_test.cpp
@@ -102,7 +102,7 @@
 BOOST_AUTO_TEST_CASE(a_node_that_turns_it_away_leads_to_the_next)
 {
   start("/order/1");
-  const load_report full{ 4, 9, 4 };
+  const load_report full{ 4, 9, 4, 1000 };
   BOOST_TEST(raise(attempt_failed{ 0, refusal::queue_full, outcome::not_run, 80, full }, 5) ==
              ">c ");
   BOOST_TEST(raise(attempt_failed{ 1, refusal::queue_full, outcome::not_run, 60, full }, 9) ==
--- a/tests/request/slot_test.cpp
+++ b/tests/request/slot_test.cpp
@@ -111,4 +111,31 @@
   BOOST_TEST(show(queue.handle(slot_cancelled{ 1 }, 10)) == "+3 ");
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_server_is_told_by_its_times_against_the_usual_ones)
+{
+  slot_queue queue = make_queue(4);
+  mono_ms now = 0;
+  for (slot_ticket id = 1; id <= 40; ++id) {
+    queue.handle(slot_arrival{ id, "work", 1, now + 5000, now + 5000, 100 }, now);
+    now += id % 2 == 0 ? 150 : 250;
+    queue.handle(slot_finished{ id, true }, now);
+  }
+  BOOST_TEST(queue.report().slowness_permille > 1700U);
+  BOOST_TEST(queue.report().slowness_permille < 2300U);
+  queue.handle(slot_server{ 4, true, true }, now);
+  BOOST_TEST(queue.report().slowness_permille == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_are_given_up_on_a_slot_count_as_slow_too)
+{
+  // A server that hangs answers nothing, so only what was given up shows it.
+  slot_queue queue = make_queue(4);
+  for (slot_ticket id = 1; id <= 20; ++id) {
+    queue.handle(slot_arrival{ id, "work", 1, 5000, 5000, 100 }, 0);
+    queue.handle(slot_overdue{ id }, 800);
+  }
+  BOOST_TEST(queue.report().slowness_permille > 2500U);
+  BOOST_TEST(queue.expected_ms("work") > 500.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
