Start what can still be in time first, and let the rest wait for a while

Changed: within a rank, requests with at least 1.5 times their expected time until the objective go first; the others get what is left for up to 1.5 objectives, and only then are refused.

--- a/src/request/slot_policy.cpp
+++ b/src/request/slot_policy.cpp
@@ -25,6 +25,14 @@
 /** Share of its expected time that a running request is taken to need at least. */
 static constexpr double LEAST_REMAINING = 0.2;
 
+/** Multiple of its expected time that a request needs until its objective to count as one that can
+ * be in time: work varies, so that many of those with less end late. */
+static constexpr double TIMELY_FACTOR = 1.5;
+
+/** Multiple of the time until its objective that a request may wait for a slot. Those that wait so
+ * long are better off at another server, or when the crest is over. */
+static constexpr double LATE_FACTOR = 1.5;
+
 /** Shortest time after which a refused caller is asked to come again. */
 static constexpr double RETRY_AFTER_MIN_MS = 50;
 
@@ -47,23 +55,35 @@
   return average_ms_ > 0 ? average_ms_ : UNKNOWN_SERVICE_MS;
 }
 
+bool
+slot_queue::is_timely(const slot_arrival& request, mono_ms start_at) const
+{
+  return static_cast<double>(start_at) + TIMELY_FACTOR * expected_ms(request.work) <=
+         static_cast<double>(request.objective_at);
+}
+
 double
-slot_queue::expected_wait_ms(const rank& place, mono_ms now) const
+slot_queue::expected_wait_ms(const slot_arrival& request, bool is_request_timely, mono_ms now) const
 {
   if (slots_ == 0) {
     return 0;
   }
   double work_ms = 0;
-  for (const auto& [id, request] : running_) {
-    const double expected = expected_ms(request.work);
-    const double elapsed = static_cast<double>(now - request.started_at);
+  for (const auto& [id, other] : running_) {
+    const double expected = expected_ms(other.work);
+    const double elapsed = static_cast<double>(now - other.started_at);
     work_ms += std::max(expected - elapsed, expected * LEAST_REMAINING);
   }
-  for (const rank& ahead : queue_) {
-    if (ahead >= place) {
+  const rank place = rank_of(request);
+  for (const rank& item : queue_) {
+    const slot_arrival& other = waiting_.at(std::get<slot_ticket>(item));
+    if (other.priority > request.priority) {
       break;
     }
-    work_ms += expected_ms(waiting_.at(std::get<slot_ticket>(ahead)).work);
+    const bool is_equal = other.priority == request.priority;
+    const bool is_ahead = !is_equal || (is_request_timely ? item < place && is_timely(other, now)
+                                                          : item < place || is_timely(other, now));
+    work_ms += is_ahead ? expected_ms(other.work) : 0;
   }
   return work_ms / slots_;
 }
@@ -82,16 +102,33 @@
     refuse(event.id, refusal::draining, 0);
     return;
   }
-  const rank place = rank_of(event);
   const bool has_slot = running_.size() < slots_ && queue_.empty();
-  const double wait = has_slot ? 0 : expected_wait_ms(place, now);
-  const double done_at = static_cast<double>(now) + wait + expected_ms(event.work);
-  if (!has_slot && done_at > static_cast<double>(std::min(event.objective_at, event.deadline))) {
-    refuse(event.id, refusal::queue_full, wait);
-    return;
+  if (!has_slot) {
+    const double expected = expected_ms(event.work);
+    double wait = expected_wait_ms(event, true, now);
+    double limit = static_cast<double>(std::min(event.objective_at, event.deadline));
+    if (static_cast<double>(now) + wait + expected > limit) {
+      // Too late to be fully useful: it may still have what others leave.
+      wait = expected_wait_ms(event, false, now);
+      limit = static_cast<double>(last_start_of(event, now)) + expected;
+    }
+    if (static_cast<double>(now) + wait + expected > limit) {
+      refuse(event.id, refusal::queue_full, wait);
+      return;
+    }
   }
-  waiting_.emplace(event.id, event);
-  queue_.insert(place);
+  waiting_.emplace(event.id, waiting_request{ event, last_start_of(event, now) });
+  queue_.insert(rank_of(event));
+}
+
+mono_ms
+slot_queue::last_start_of(const slot_arrival& request, mono_ms now) const
+{
+  const double expected = expected_ms(request.work);
+  const auto objective = static_cast<double>(std::max<mono_ms>(request.objective_at - now, 0));
+  const double latest = std::min(static_cast<double>(now) + LATE_FACTOR * objective,
+                                 static_cast<double>(request.deadline) - expected / 2);
+  return static_cast<mono_ms>(latest);
 }
 
 void
@@ -181,16 +218,31 @@
 {
 }
 
+std::set<slot_queue::rank>::iterator
+slot_queue::next_to_start(mono_ms now)
+{
+  // Within a rank, those that can still be in time go before those that can't: a queue that stands
+  // at the objective would make all of them late.
+  const auto first = queue_.begin();
+  for (auto place = first; place != queue_.end(); ++place) {
+    if (std::get<0>(*place) != std::get<0>(*first)) {
+      break;
+    }
+    if (is_timely(waiting_.at(std::get<slot_ticket>(*place)), now)) {
+      return place;
+    }
+  }
+  return first;
+}
+
 void
 slot_queue::advance(mono_ms now)
 {
-  // What would end after its deadline even if it started now has waited in vain.
   for (auto place = queue_.begin(); place != queue_.end();) {
     const slot_ticket id = std::get<slot_ticket>(*place);
-    const slot_arrival& request = waiting_.at(id);
-    if (static_cast<double>(now) + expected_ms(request.work) / 2 >
-        static_cast<double>(request.deadline)) {
-      refuse(id, refusal::too_late, expected_wait_ms(*place, now));
+    const waiting_request& request = waiting_.at(id);
+    if (now > request.last_start_at) {
+      refuse(id, refusal::too_late, expected_wait_ms(request, false, now));
       waiting_.erase(id);
       place = queue_.erase(place);
     } else {
@@ -198,10 +250,12 @@
     }
   }
   while (running_.size() < slots_ && !queue_.empty()) {
-    const slot_ticket id = std::get<slot_ticket>(*queue_.begin());
-    running_.emplace(id, running_request{ waiting_.at(id).work, now, waiting_.at(id).usual_ms });
+    const auto place = next_to_start(now);
+    const slot_ticket id = std::get<slot_ticket>(*place);
+    const slot_arrival& request = waiting_.at(id);
+    running_.emplace(id, running_request{ request.work, now, request.usual_ms });
     waiting_.erase(id);
-    queue_.erase(queue_.begin());
+    queue_.erase(place);
     effects_.emplace_back(slot_start{ id });
   }
 }
--- a/src/request/slot_policy.h
+++ b/src/request/slot_policy.h
@@ -80,8 +80,9 @@
 
 /**
  * The slots of one server with a queue in front. The queue is ordered by priority, then by
- * deadline, so the short calls of running requests, whose deadline is the nearest, go before new
- * requests of their rank. A request is refused at once if its answer would come too late.
+ * objective, so the short calls of running requests go before new requests of their rank. Requests
+ * that can no longer be in time get what those of their rank leave, for a while. What can't be
+ * served is refused at once.
  */
 class slot_queue
 {
@@ -105,6 +106,12 @@
   /** Order of the queue. */
   using rank = std::tuple<std::int64_t, mono_ms, slot_ticket>;
 
+  /** A request in the queue. */
+  struct waiting_request : slot_arrival
+  {
+    mono_ms last_start_at = 0; ///< When it has to start at the latest.
+  };
+
   /** A request on a slot. */
   struct running_request
   {
@@ -123,18 +130,24 @@
   void note_time(const running_request& request, double taken_ms);
   /** Starts what can start; refuses what is too late. */
   void advance(mono_ms now);
-  /** Time until a slot is free for a request of this rank. */
-  double expected_wait_ms(const rank& place, mono_ms now) const;
+  /** Whether a request can be expected to be in time if it starts at a moment. */
+  bool is_timely(const slot_arrival& request, mono_ms start_at) const;
+  /** Time until a slot is free for a request, if it counts as one that can be in time or not. */
+  double expected_wait_ms(const slot_arrival& request, bool is_request_timely, mono_ms now) const;
+  /** When a request has to start at the latest. */
+  mono_ms last_start_of(const slot_arrival& request, mono_ms now) const;
+  /** The waiting request that gets the next slot. */
+  std::set<rank>::iterator next_to_start(mono_ms now);
   void refuse(slot_ticket id, refusal reason, double retry_after_ms);
   static rank rank_of(const slot_arrival& request)
   {
-    return { request.priority, request.deadline, request.id };
+    return { request.priority, request.objective_at, request.id };
   }
 
   std::uint32_t slots_ = 0;                        ///< Of the server.
   bool takes_work_ = false;                        ///< Whether new requests may start.
   std::map<slot_ticket, running_request> running_; ///< On slots.
-  std::map<slot_ticket, slot_arrival> waiting_;    ///< In the queue.
+  std::map<slot_ticket, waiting_request> waiting_; ///< In the queue.
   std::set<rank> queue_;                           ///< Order of the queue.
   std::map<std::string, double> service_ms_;       ///< Average time on a slot, by kind of work.
   double average_ms_ = 0;                          ///< The same over all kinds; 0: not known.
