Don't ask a server without room again at once, and spread the returns

Changed: after a refusal for want of room a proxy leaves that server out for 40 ms for requests of that rank or less urgent ones; with no other server the caller is refused at once. Retry-After varies by a quarter.

--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -15,6 +15,9 @@
 /** Wait that a caller is asked for if no node named one. */
 static constexpr std::int64_t RETRY_AFTER_DEFAULT_MS = 200;
 
+/** Part by which that wait is lengthened or shortened at random. */
+static constexpr double RETRY_AFTER_SPREAD = 0.25;
+
 /** Bytes that are assumed of a download, and of other requests, until some were seen. */
 static constexpr double DOWNLOAD_BYTES = 60'000;
 static constexpr double OTHER_BYTES = 3000;
@@ -85,6 +88,8 @@
   }
   /** Answers in the server's place and ends the request. */
   void refuse(unsigned status, refusal reason, std::int64_t retry_after_ms);
+  /** Notes a time after which a server may have room; the shortest is what the caller is told. */
+  void note_wait(std::int64_t wait_ms);
   /** Ends the request that no server could take. */
   void give_up(refusal reason);
   /** Logs the outcome and marks the request as over. */
@@ -120,7 +125,7 @@
   call_.service = choose_service();
   proxy_.allowances[call_.service].note_request(now_);
   if (!try_server()) {
-    give_up(refusal::no_server);
+    give_up(call_.is_full ? refusal::queue_full : refusal::no_server);
   }
 }
 
@@ -192,7 +197,7 @@
 bool
 exchange_handler::try_server()
 {
-  choice_request request{ call_.service, {}, expected_bytes(), 0, {} };
+  choice_request request{ call_.service, {}, call_.rule->priority, expected_bytes(), 0, {} };
   if (call_.rule->objective_ms > 0) {
     request.usual_part =
       static_cast<double>(usual_ms()) / static_cast<double>(call_.rule->objective_ms);
@@ -203,9 +208,14 @@
   request.is_open_path = [&](const std::string& region) {
     return proxy_.paths.has_room(region, request.expected_bytes, now_);
   };
-  const std::optional<server_choice> choice =
+  const choice_result result =
     choose_server(*proxy_.view, proxy_.self, proxy_.sights, request, now_, proxy_.random);
-  if (!choice) {
+  if (const auto* full = std::get_if<no_room>(&result)) {
+    note_wait(full->wait_ms);
+    call_.is_full = true;
+  }
+  const auto* choice = std::get_if<server_choice>(&result);
+  if (choice == nullptr) {
     return false;
   }
   const attempt_number attempt = call_.attempts.size();
@@ -306,9 +316,9 @@
   if (!was_seen) {
     call_.attempts[event.attempt].may_have_run = false;
     ++call_.refused_sends;
-    const bool names_time = event.retry_after_ms > 0;
-    if (names_time && (call_.retry_after_ms == 0 || event.retry_after_ms < call_.retry_after_ms)) {
-      call_.retry_after_ms = event.retry_after_ms;
+    note_wait(event.retry_after_ms);
+    if (event.reason == refusal::queue_full) {
+      proxy_.sights.note_full(node, call_.rule->priority, event.retry_after_ms, now_);
     }
     const bool may_try = call_.refused_sends < REFUSED_SENDS_MAX &&
                          event.reason != refusal::too_late && call_.deadline - now_ > LEAST_TIME_MS;
@@ -336,9 +346,20 @@
     refuse(STATUS_BAD_GATEWAY, reason, 0);
     return;
   }
+  // Callers that were refused together shall not come back together.
   const std::int64_t wait =
     call_.retry_after_ms > 0 ? call_.retry_after_ms : RETRY_AFTER_DEFAULT_MS;
-  refuse(STATUS_UNAVAILABLE, reason, wait);
+  std::uniform_real_distribution<double> spread(1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD);
+  refuse(
+    STATUS_UNAVAILABLE, reason, std::llround(static_cast<double>(wait) * spread(proxy_.random)));
+}
+
+void
+exchange_handler::note_wait(std::int64_t wait_ms)
+{
+  if (wait_ms > 0 && (call_.retry_after_ms == 0 || wait_ms < call_.retry_after_ms)) {
+    call_.retry_after_ms = wait_ms;
+  }
 }
 
 void
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -126,6 +126,7 @@
   std::size_t arrivals = 0;               ///< Attempts that a server saw, or may have seen.
   std::size_t refused_sends = 0;          ///< Attempts that a node turned away.
   std::int64_t retry_after_ms = 0;        ///< Shortest time that such a node named.
+  bool is_full = false;                   ///< Some node has no room, as it said lately.
   bool may_have_run = false;              ///< Some attempt may have run.
   bool is_done = false;                   ///< Over.
 };
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -21,6 +21,10 @@
 /** How much a server that fails all requests counts as loaded: more than any queue allows. */
 static constexpr double FAILURE_PENALTY = 4;
 
+/** Time for which a node that refused for want of room isn't asked for the same: the requests that
+ * wait there keep its slots busy meanwhile. */
+static constexpr mono_ms FULL_MS = 40;
+
 /** Time for which a node that can't be reached isn't tried. */
 static constexpr mono_ms AVOID_MS = 1000;
 
@@ -109,6 +113,19 @@
   }
 }
 
+void
+server_sights::note_full(const node_id& node,
+                         std::int64_t priority,
+                         std::int64_t wait_ms,
+                         mono_ms now)
+{
+  server_sight& sight = sights_[node];
+  const bool is_known = now < sight.full_until;
+  sight.full_priority = is_known ? std::min(sight.full_priority, priority) : priority;
+  sight.full_until = now + FULL_MS;
+  sight.wait_ms = wait_ms;
+}
+
 void
 server_sights::note_unreachable(const node_id& node, mono_ms now)
 {
@@ -192,7 +209,7 @@
   return score;
 }
 
-std::optional<server_choice>
+choice_result
 choose_server(const peer_view& view,
               const node_beacon& self,
               const server_sights& sights,
@@ -202,6 +219,7 @@
 {
   std::optional<server_choice> best;
   std::optional<server_choice> avoided;
+  std::optional<no_room> full;
   server_distance nearest = server_distance::far;
   std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
   const double usual_part = request.usual_part > 0 ? request.usual_part : UNKNOWN_PART;
@@ -221,6 +239,10 @@
         !request.is_open_path(node.region)) {
       continue;
     }
+    if (now < sight.full_until && request.priority >= sight.full_priority) {
+      full = no_room{ full ? std::min(full->wait_ms, sight.wait_ms) : sight.wait_ms };
+      continue;
+    }
     const double way = way_cost(distance, request.expected_bytes);
     const double score = score_of(node, usual_part, way, sight, now) + jitter(random);
     const server_choice choice{ &node, distance, score };
@@ -232,11 +254,12 @@
     }
   }
   const std::optional<server_choice>& choice = best ? best : avoided;
-  if (choice && choice->distance > nearest &&
-      way_cost(choice->distance, request.expected_bytes) > WAY_COST_MAX) {
-    return std::nullopt;
+  const bool is_too_far = choice && choice->distance > nearest &&
+                          way_cost(choice->distance, request.expected_bytes) > WAY_COST_MAX;
+  if (choice && !is_too_far) {
+    return *choice;
   }
-  return choice;
+  return full ? choice_result(*full) : choice_result(no_candidate{});
 }
 
 } // namespace shallotfield
--- a/src/request/server_choice.h
+++ b/src/request/server_choice.h
@@ -24,6 +24,9 @@
   double failure_share = 0;     ///< Recent share of requests that failed there.
   mono_ms failed_at = 0;        ///< When the latest failed.
   mono_ms avoid_until = 0;      ///< The node couldn't be reached; not to be tried until then.
+  mono_ms full_until = 0;       ///< The node refused for want of room; not to be asked until then.
+  std::int64_t full_priority = 0; ///< Rank of that request; more urgent ones may be asked for.
+  std::int64_t wait_ms = 0;       ///< Time after which there may be room, as the node said.
 };
 
 /** What one proxy sees of all servers. */
@@ -41,6 +44,9 @@
   void note_beacon(const node_beacon& node, mono_ms now);
   /** Notes whether the server answered properly. */
   void note_result(const node_id& node, bool is_failure, mono_ms now);
+  /** Notes that the node has no room for requests of a rank and less urgent ones. @param priority
+   * The rank. @param wait_ms Time after which there may be room. */
+  void note_full(const node_id& node, std::int64_t priority, std::int64_t wait_ms, mono_ms now);
   /** Notes that the node can't be reached. */
   void note_unreachable(const node_id& node, mono_ms now);
   /** @return What is seen of a server. */
@@ -81,6 +87,7 @@
 {
   service_id service;         ///< The service.
   std::set<node_id> excluded; ///< Nodes that the request was at already.
+  std::int64_t priority = 0;  ///< Its rank; 0 is the highest.
   double expected_bytes = 0;  ///< Request and answer together, as such ones had.
   double usual_part = 0; ///< Usual time on a slot, as a part of the time until the objective; 0:
                          ///< not known.
@@ -88,6 +95,16 @@
     is_open_path; ///< Whether the way to another region has room; not set: it has.
 };
 
+/** No server has room for a request just now. */
+struct no_room
+{
+  std::int64_t wait_ms = 0; ///< Shortest time after which one may, as its node said.
+};
+
+/** No server may take a request. */
+struct no_candidate
+{};
+
 /** A chosen server. */
 struct server_choice
 {
@@ -96,6 +113,8 @@
   double score = 0;                                      ///< Its expected load; less is better.
 };
 
+using choice_result = std::variant<server_choice, no_room, no_candidate>;
+
 /**
  * Chooses a server.
  * @param view The nodes that live, this one included.
@@ -104,9 +123,9 @@
  * @param request What is asked for.
  * @param now Current time.
  * @param random Random numbers.
- * @return The choice; or nothing if no server may take the request.
+ * @return The choice, or why there is none.
  */
-std::optional<server_choice>
+choice_result
 choose_server(const peer_view& view,
               const node_beacon& self,
               const server_sights& sights,
--- a/tests/request/choice_test.cpp
+++ b/tests/request/choice_test.cpp
@@ -28,7 +28,7 @@
   }
 
   /** @return How many of 200 requests go to a server. */
-  int count(const node_id& id, double bytes = 1000)
+  int count(const node_id& id, double bytes = 1000, std::int64_t priority = 1)
   {
     node_beacon self;
     self.id = "self";
@@ -36,9 +36,10 @@
     self.region = "west";
     int chosen = 0;
     for (int i = 0; i < 200; ++i) {
-      choice_request request{ "shop", {}, bytes, 0.3, {} };
-      const auto choice = choose_server(view, self, sights, request, now, random);
-      chosen += choice && choice->node->id == id ? 1 : 0;
+      choice_request request{ "shop", {}, priority, bytes, 0.3, {} };
+      const choice_result result = choose_server(view, self, sights, request, now, random);
+      const auto* choice = std::get_if<server_choice>(&result);
+      chosen += choice != nullptr && choice->node->id == id ? 1 : 0;
     }
     return chosen;
   }
@@ -108,10 +109,30 @@
 BOOST_AUTO_TEST_CASE(a_closed_way_is_no_choice)
 {
   add("far", "east-a");
-  choice_request request{ "shop", {}, 90'000, 0.3, [](const std::string&) { return false; } };
+  choice_request request{ "shop", {}, 1, 90'000, 0.3, [](const std::string&) { return false; } };
   node_beacon self;
   self.region = "west";
-  BOOST_TEST(!choose_server(view, self, sights, request, now, random).has_value());
+  const choice_result result = choose_server(view, self, sights, request, now, random);
+  BOOST_TEST(std::holds_alternative<no_candidate>(result));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_without_room_is_not_asked_again_and_again)
+{
+  // At a crest each request asked three servers in vain, and the questions crossed zones.
+  add("one", "west-a");
+  add("two", "west-a");
+  sights.note_full("one", 1, 300, now);
+  BOOST_TEST(count("two") == 200);
+  BOOST_TEST(count("one", 1000, 0) > 0); // More urgent requests may find room.
+  sights.note_full("two", 1, 200, now);
+  node_beacon self;
+  self.zone = "west-a";
+  choice_request request{ "shop", {}, 2, 1000, 0.3, {} };
+  const choice_result result = choose_server(view, self, sights, request, now, random);
+  BOOST_REQUIRE(std::holds_alternative<no_room>(result));
+  BOOST_TEST(std::get<no_room>(result).wait_ms == 200);
+  now += 100;
+  BOOST_TEST(count("one") > 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
