Compare a few servers of each distance, and serve the metrics

Cause: with 75 proxies the choice by expected time sent all of them to the server that had looked best half a second before. Changed: of each distance three servers, drawn at random, are compared.

Besides, the counters and the histogram are served on an address of the settings.

--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -1,9 +1,10 @@
-// The server beside a proxy announces itself, and the platform asks whether the proxy is ready.
+// The server beside a proxy announces itself, the platform asks whether the proxy is ready, and
+// operators read the metrics.
 #include "proxy_node_base.h"
 
 namespace shallotfield {
 
-/** Largest body of an announcement. */
+/** Largest body of a request to the control thread: an announcement. */
 static constexpr std::uint64_t ANNOUNCEMENT_BYTES_MAX = 64U << 10U;
 
 /** Time for the first announcement to arrive, before the server is looked for. */
@@ -65,6 +66,20 @@
   };
 }
 
+void
+proxy_node::accept_metrics(qintptr descriptor)
+{
+  http_session& session = keep_session(descriptor);
+  session.on_request = [&session](whole_request&& request) {
+    const bool is_known = request.head.method == "GET" && request.head.target == "/metrics";
+    if (!is_known) {
+      session.answer(STATUS_NOT_FOUND, {}, "");
+      return;
+    }
+    session.answer(STATUS_OK, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_text());
+  };
+}
+
 void
 proxy_node::take_announcement(http_session& session, const whole_request& request)
 {
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -116,6 +116,7 @@
   BOOST_LEAF_CHECK(
     open_port(announcements_port_, options_.announcements_address, "announcements_address"));
   BOOST_LEAF_CHECK(open_port(readiness_port_, options_.readiness_address, "readiness_address"));
+  BOOST_LEAF_CHECK(open_port(metrics_port_, options_.metrics_address, "metrics_address"));
   BOOST_LEAF_CHECK(open_port(config_port_, { options_.host, control_port }, "peers_port"));
   const QHostAddress host(QString::fromStdString(options_.host));
   if (!beacons_.bind(host, control_port)) {
@@ -123,6 +124,7 @@
   }
   announcements_port_.on_connection = [this](qintptr at) { accept_announcements(at); };
   readiness_port_.on_connection = [this](qintptr at) { accept_readiness(at); };
+  metrics_port_.on_connection = [this](qintptr at) { accept_metrics(at); };
   config_port_.on_connection = [this](qintptr at) { accept_config_question(at); };
   QObject::connect(&beacons_, &QUdpSocket::readyRead, &context_, [this] { read_beacons(); });
   BOOST_LEAF_CHECK(traffic_.start());
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -84,6 +84,7 @@
   void accept_announcements(qintptr descriptor);
   void take_announcement(http_session& session, const whole_request& request);
   void accept_readiness(qintptr descriptor);
+  void accept_metrics(qintptr descriptor);
   void publish_server();
   void probe_server();
 
@@ -105,8 +106,9 @@
   listener config_port_;          ///< Answers peers that ask for the configuration.
   listener announcements_port_;   ///< The server announces itself here.
   listener readiness_port_;       ///< The platform asks here.
+  listener metrics_port_;         ///< Serves the metrics.
   QTimer ticks_;                  ///< Raises tick().
-  std::map<std::uint64_t, std::unique_ptr<http_session>> sessions_;      ///< Of the last two ports.
+  std::map<std::uint64_t, std::unique_ptr<http_session>> sessions_;      ///< Of the last three ports.
   std::map<std::uint64_t, std::unique_ptr<framed_socket>> config_links_; ///< Peers that ask.
   std::map<std::uint64_t, std::unique_ptr<config_transfer_call>> fetches_; ///< Asked peers.
   std::unique_ptr<http_client> probe_; ///< Health check of a server not heard of yet.
--- a/src/process/proxy_settings.cpp
+++ b/src/process/proxy_settings.cpp
@@ -35,10 +35,11 @@
   endpoint proxy_settings::*member; ///< Where the value is kept.
 };
 
-static constexpr std::array<proxy_address_row, 5> PROXY_ADDRESS_ROWS = { {
+static constexpr std::array<proxy_address_row, 6> PROXY_ADDRESS_ROWS = { {
   { "server_address", &proxy_settings::server_address },
   { "callers_address", &proxy_settings::callers_address },
   { "readiness_address", &proxy_settings::readiness_address },
+  { "metrics_address", &proxy_settings::metrics_address },
   { "announcements_address", &proxy_settings::announcements_address },
   { "store_address", &proxy_settings::store_address },
 } };
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -20,6 +20,7 @@
   endpoint callers_address;       ///< Where requests begin.
   endpoint readiness_address;     ///< Where the platform asks whether the proxy is ready.
   endpoint announcements_address; ///< Where the server announces itself.
+  endpoint metrics_address;       ///< Where the metrics are served.
   endpoint store_address;         ///< The platform's metadata store.
   std::uint16_t peers_port = 0;   ///< First port for links between proxies; the next one carries
                                   ///< beacons and configurations.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -283,6 +283,7 @@
     note_bytes(event.body.size());
     note_time(event.ran_ms);
   }
+  count(counter_id::requests_answered);
   finish("answered", "server", event.head.status);
   effects_.emplace_back(give_answer{ event.head, event.body });
 }
@@ -399,12 +400,15 @@
     return;
   }
   drop_open();
+  count(counter_id::requests_cancelled);
   finish("cancelled", "caller_left", 0);
 }
 
 void
 exchange_handler::refuse(unsigned status, refusal reason, std::int64_t retry_after_ms)
 {
+  const bool is_not_run = status == STATUS_UNAVAILABLE || status == STATUS_NOT_FOUND;
+  count(is_not_run ? counter_id::requests_not_run : counter_id::requests_unknown);
   finish("refused", enum_name(reason), status);
   effects_.emplace_back(give_refusal{ status, reason, retry_after_ms });
 }
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -41,6 +41,10 @@
 /** Random part of a score: spreads the choices of many proxies over servers that look alike. */
 static constexpr double SCORE_JITTER = 0.01;
 
+/** Servers of one distance that are compared for a request. With two the best one of few would be
+ * left out too often; with all of them proxies would choose alike. */
+static constexpr std::size_t COMPARED_SERVERS = 3;
+
 /** What the distance counts, in units of a server's load. */
 struct distance_cost
 {
@@ -209,20 +213,29 @@
   return score;
 }
 
-choice_result
-choose_server(const peer_view& view,
-              const node_beacon& self,
-              const server_sights& sights,
-              const choice_request& request,
-              mono_ms now,
-              random_source& random)
+namespace {
+
+/** The servers that may take a request. */
+struct candidates
 {
-  std::optional<server_choice> best;
-  std::optional<server_choice> avoided;
-  std::optional<no_room> full;
-  server_distance nearest = server_distance::far;
-  std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
-  const double usual_part = request.usual_part > 0 ? request.usual_part : UNKNOWN_PART;
+  /** The free ones, by distance; among these the choice is made. */
+  std::array<std::vector<const node_beacon*>, SERVER_DISTANCE_ROWS.size()> by_distance;
+  std::vector<const node_beacon*> doubtful;       ///< Leaving, or couldn't be reached lately.
+  std::optional<no_room> full;                    ///< Set if some have no room.
+  server_distance nearest = server_distance::far; ///< Of all that take work.
+};
+
+} // namespace
+
+/** Finds the servers that may take a request. */
+static candidates
+find_candidates(const peer_view& view,
+                const node_beacon& self,
+                const server_sights& sights,
+                const choice_request& request,
+                mono_ms now)
+{
+  candidates result;
   for (const auto& [id, node] : view) {
     const bool takes_work =
       node.server.state == server_state::ready || node.server.state == server_state::cold;
@@ -231,35 +244,71 @@
     }
     const server_sight& sight = sights.at(id);
     const server_distance distance = distance_of(node, self);
-    nearest = std::min(nearest, distance);
-    if (request.excluded.contains(id)) {
-      continue;
-    }
-    if (distance == server_distance::far && request.is_open_path &&
-        !request.is_open_path(node.region)) {
+    result.nearest = std::min(result.nearest, distance);
+    const bool is_closed = distance == server_distance::far && request.is_open_path &&
+                           !request.is_open_path(node.region);
+    if (is_closed || request.excluded.contains(id)) {
       continue;
     }
     if (now < sight.full_until && request.priority >= sight.full_priority) {
-      full = no_room{ full ? std::min(full->wait_ms, sight.wait_ms) : sight.wait_ms };
-      continue;
+      const std::int64_t wait = sight.wait_ms;
+      result.full = no_room{ result.full ? std::min(result.full->wait_ms, wait) : wait };
+    } else if (node.is_leaving || sight.avoid_until > now) {
+      result.doubtful.push_back(&node);
+    } else {
+      result.by_distance[static_cast<std::size_t>(distance)].push_back(&node);
     }
+  }
+  return result;
+}
+
+/** Leaves some servers at random. Each proxy knows the load of a server as it was a while ago; if
+ * all of them compared the same servers, they would all choose the same one. */
+static void
+draw_some(std::vector<const node_beacon*>& servers, random_source& random)
+{
+  for (std::size_t i = 0; i < std::min(COMPARED_SERVERS, servers.size()); ++i) {
+    std::uniform_int_distribution<std::size_t> draw(i, servers.size() - 1);
+    std::swap(servers[i], servers[draw(random)]);
+  }
+  servers.resize(std::min(COMPARED_SERVERS, servers.size()));
+}
+
+choice_result
+choose_server(const peer_view& view,
+              const node_beacon& self,
+              const server_sights& sights,
+              const choice_request& request,
+              mono_ms now,
+              random_source& random)
+{
+  candidates found = find_candidates(view, self, sights, request, now);
+  std::optional<server_choice> best;
+  std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
+  const double usual_part = request.usual_part > 0 ? request.usual_part : UNKNOWN_PART;
+  const auto compare = [&](const node_beacon* node) {
+    const server_distance distance = distance_of(*node, self);
     const double way = way_cost(distance, request.expected_bytes);
-    const double score = score_of(node, usual_part, way, sight, now) + jitter(random);
-    const server_choice choice{ &node, distance, score };
-    // A node that is leaving, or can't be reached, is better than none.
-    const bool is_doubtful = node.is_leaving || sight.avoid_until > now;
-    std::optional<server_choice>& place = is_doubtful ? avoided : best;
-    if (!place || score < place->score) {
-      place = choice;
+    const server_sight& sight = sights.at(node->id);
+    const double score = score_of(*node, usual_part, way, sight, now) + jitter(random);
+    if (!best || score < best->score) {
+      best = server_choice{ node, distance, score };
     }
+  };
+  for (auto& servers : found.by_distance) {
+    draw_some(servers, random);
+    std::for_each(servers.begin(), servers.end(), compare);
+  }
+  if (!best) {
+    // A doubtful server is better than none.
+    std::for_each(found.doubtful.begin(), found.doubtful.end(), compare);
   }
-  const std::optional<server_choice>& choice = best ? best : avoided;
-  const bool is_too_far = choice && choice->distance > nearest &&
-                          way_cost(choice->distance, request.expected_bytes) > WAY_COST_MAX;
-  if (choice && !is_too_far) {
-    return *choice;
+  const bool is_too_far = best && best->distance > found.nearest &&
+                          way_cost(best->distance, request.expected_bytes) > WAY_COST_MAX;
+  if (best && !is_too_far) {
+    return *best;
   }
-  return full ? choice_result(*full) : choice_result(no_candidate{});
+  return found.full ? choice_result(*found.full) : choice_result(no_candidate{});
 }
 
 } // namespace shallotfield
--- a/tests/process/proxy_settings_test.cpp
+++ b/tests/process/proxy_settings_test.cpp
@@ -20,6 +20,7 @@
            { "server_address", "10.0.0.1:1" },
            { "callers_address", "10.0.0.1:2" },
            { "readiness_address", "10.0.0.1:3" },
+           { "metrics_address", "10.0.0.1:9" },
            { "announcements_address", "10.0.0.1:4" },
            { "store_address", "10.0.0.2:5" },
            { "peers_port", 7000 },
--- a/tests/request/choice_test.cpp
+++ b/tests/request/choice_test.cpp
@@ -75,6 +75,18 @@
   BOOST_TEST(count("one") < 140);
 }
 
+BOOST_AUTO_TEST_CASE(many_proxies_do_not_all_choose_the_same_server)
+{
+  // Each of many proxies knows the load of half a second ago. On the grown sites all of them sent
+  // to the server that looked best, where requests then waited although others had room.
+  for (int i = 0; i < 9; ++i) {
+    add("s" + std::to_string(i), "west-a");
+    note("s" + std::to_string(i), i == 0 ? 2 : 5, i == 0 ? 0.7 : 1);
+  }
+  BOOST_TEST(count("s0") > 30);
+  BOOST_TEST(count("s0") < 110);
+}
+
 BOOST_AUTO_TEST_CASE(answers_of_some_size_leave_the_zone_only_if_they_would_be_late)
 {
   add("near", "west-a");
