--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -108,8 +108,8 @@
   listener readiness_port_;       ///< The platform asks here.
   listener metrics_port_;         ///< Serves the metrics.
   QTimer ticks_;                  ///< Raises tick().
-  std::map<std::uint64_t, std::unique_ptr<http_session>> sessions_;      ///< Of the last three ports.
-  std::map<std::uint64_t, std::unique_ptr<framed_socket>> config_links_; ///< Peers that ask.
+  std::map<std::uint64_t, std::unique_ptr<http_session>> sessions_; ///< Of the last three ports.
+  std::map<std::uint64_t, std::unique_ptr<framed_socket>> config_links_;   ///< Peers that ask.
   std::map<std::uint64_t, std::unique_ptr<config_transfer_call>> fetches_; ///< Asked peers.
   std::unique_ptr<http_client> probe_; ///< Health check of a server not heard of yet.
   std::uint64_t next_id_ = 1;          ///< Number of the next session or transfer.
