Answer what is open before a process ends

Changed: 0.7 s before the end of the grace period the requests that are still open are answered as timed out, so that what is ready behind them leaves.

--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -385,6 +385,10 @@
     is_draining_ = true;
     traffic_.start_draining(leaving_since_ + bounds_.grace_ms - LEAVE_MARGIN_MS - LAST_ANSWER_MS);
   }
+  if (since >= bounds_.grace_ms - LEAVE_MARGIN_MS - LAST_ANSWER_MS && !are_requests_ended_) {
+    are_requests_ended_ = true;
+    traffic_.end_requests();
+  }
   const std::size_t open = traffic_.open_requests();
   const bool is_over = since >= bounds_.grace_ms - LEAVE_MARGIN_MS;
   if ((since >= LEAVE_AFTER_MS && open == 0) || is_over) {
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -132,6 +132,7 @@
   mono_ms leaving_since_ = 0;          ///< When leave() was called; 0: not yet.
   bool is_leave_announced_ = false;    ///< Peers were told that this process ends.
   bool is_draining_ = false;           ///< Callers' connections are being closed.
+  bool are_requests_ended_ = false;    ///< What was still open has been answered.
   bool was_ready_ = false;             ///< As told last.
 };
 
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -178,6 +178,21 @@
   }
 }
 
+void
+proxy_traffic::end_requests()
+{
+  post([this] {
+    std::vector<exchange_id> open;
+    open.reserve(exchanges_.size());
+    for (const auto& [id, item] : exchanges_) {
+      open.push_back(id);
+    }
+    for (const exchange_id id : open) {
+      raise(id, exchange_expired{});
+    }
+  });
+}
+
 void
 proxy_traffic::count_open()
 {
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -78,6 +78,10 @@
    * over before the end. @param ends_at When the process ends. */
   void start_draining(mono_ms ends_at);
 
+  /** Ends the requests that are still open, shortly before the process ends. An answer that is
+   * ready behind one of them on its connection reaches its caller so. */
+  void end_requests();
+
   /** @return Requests that are open here, of callers and of other proxies. */
   std::size_t open_requests() const { return open_requests_.load(); }
 
