--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
 // A request that crashes each server that begins to run it comes again, beside ordinary orders.
-#include "harness.h"
+#include "../harness.h"
 
 using namespace review;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 // A server deregisters; the proxy beside it is killed and started again; a heartbeat that the
 // server had sent before arrives late.
-#include "harness.h"
+#include "../harness.h"
 
 using namespace review;
 
