Find requests that crash servers, and reject them at all proxies

What callers saw: one request that crashes each server that begins to run it was sent on without end. Each time it came it ended two servers, and the orders at work on them got 502.

Cause: the proxies took the reset for an unknown outcome and retried an idempotent request at the next server. Nothing connected the ends of the servers with the request, and proxies told each other nothing.

Change: the proxy beside a server reports which requests were at work when it crashed. A closed port or a new incarnation tells a crash from a connection that was only lost; a server that said that it leaves does not count. A request is known by method, path and body, with and without its caller. All proxies exchange the records by datagram, and remind each other, so that one that was restarted or cut off learns of them. From two crashes on a request is not retried; from three on it is rejected with 503, by the proxy of its caller and by the one beside a server. A request that some server has completed in the last 10 s is not suspected, and one that is completed later is acquitted, so that a popular request at work on servers that crash for other reasons is served.

Tests: crashes, crash_registries, exchange_decisions, proxy_codecs, proxy_traffics, proxy_nodes.

Not covered: the traffic path of `shallotfield node`; a restart of all proxies at once forgets the records.

--- a/src/connection/connection.h
+++ b/src/connection/connection.h
@@ -7,6 +7,7 @@
 #include "config_transfer_codec.h" // IWYU pragma: export
 #include "control_message_codec.h" // IWYU pragma: export
 #include "control_message_type.h"  // IWYU pragma: export
+#include "crash_report_codec.h"    // IWYU pragma: export
 #include "frame_codec.h"           // IWYU pragma: export
 #include "framed_socket_base.h"    // IWYU pragma: export
 #include "http_client_base.h"      // IWYU pragma: export
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -104,9 +104,10 @@
   response_truncated, ///< The response was incomplete or invalid.
   timed_out,          ///< The deadline passed during the request.
   cancelled,          ///< The caller disconnected.
+  crashes_servers,    ///< Servers have crashed while they ran this request.
 };
 
-inline constexpr enum_table<failure_reason, 20> FAILURE_REASON_ROWS = { {
+inline constexpr enum_table<failure_reason, 21> FAILURE_REASON_ROWS = { {
   { failure_reason::no_route, "no_route" },
   { failure_reason::no_server, "no_server" },
   { failure_reason::unreachable, "unreachable" },
@@ -127,8 +128,9 @@
   { failure_reason::response_truncated, "answer_cut" },
   { failure_reason::timed_out, "timed_out" },
   { failure_reason::cancelled, "cancelled" },
+  { failure_reason::crashes_servers, "crashes_servers" },
 } };
-static_assert(is_complete(FAILURE_REASON_ROWS, failure_reason::cancelled));
+static_assert(is_complete(FAILURE_REASON_ROWS, failure_reason::crashes_servers));
 
 /** Returns the name table of failure reasons. */
 constexpr const auto&
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -46,9 +46,11 @@
   alarm,            ///< Something needs the attention of an operator.
   draining,         ///< The node or its backend server stopped accepting new work.
   lines_dropped,    ///< Log lines were dropped by a rate limit.
+  server_crashed,   ///< The local backend server crashed while it ran requests.
+  suspect_rejected, ///< A request that servers have crashed on is rejected from now on.
 };
 
-inline constexpr enum_table<log_event, 35> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 37> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -84,8 +86,10 @@
   { log_event::alarm, "alarm" },
   { log_event::draining, "draining" },
   { log_event::lines_dropped, "lines_dropped" },
+  { log_event::server_crashed, "server_crashed" },
+  { log_event::suspect_rejected, "suspect_rejected" },
 } };
-static_assert(is_complete(LOG_EVENT_ROWS, log_event::lines_dropped));
+static_assert(is_complete(LOG_EVENT_ROWS, log_event::suspect_rejected));
 
 /** Returns the name table of log events. */
 constexpr const auto&
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -28,9 +28,11 @@
   inputs_refused,     ///< Inputs rejected as malformed or too large.
   pauses,             ///< Times that the control thread did not run for some time.
   unexpected_errors,  ///< Exceptions that ended the handling of an event.
+  server_crashes,     ///< Crashes of the local backend server while it ran requests.
+  suspects_rejected,  ///< Requests rejected because servers have crashed on them.
 };
 
-inline constexpr enum_table<counter_id, 21> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 23> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -52,8 +54,10 @@
   { counter_id::inputs_refused, "inputs_refused" },
   { counter_id::pauses, "pauses" },
   { counter_id::unexpected_errors, "unexpected_errors" },
+  { counter_id::server_crashes, "server_crashes" },
+  { counter_id::suspects_rejected, "suspects_rejected" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::unexpected_errors));
+static_assert(is_complete(COUNTER_ROWS, counter_id::suspects_rejected));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -8,6 +8,7 @@
 #include "census_type.h"             // IWYU pragma: export
 #include "clock_type.h"              // IWYU pragma: export
 #include "config_follower_base.h"    // IWYU pragma: export
+#include "crash_registry.h"          // IWYU pragma: export
 #include "enum_table.h"              // IWYU pragma: export
 #include "log_func.h"                // IWYU pragma: export
 #include "log_rate_limiter.h"        // IWYU pragma: export
--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -130,7 +130,7 @@
 void
 proxy_node::publish_server_status()
 {
-  traffic_.set_server(server_.current_status());
+  traffic_.set_server(server_.current_status(), server_.incarnation());
   publish_peers();
   schedule_urgent_beacon(self_.id);
 }
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -83,6 +83,7 @@
       self_)
   , started_at_(read_clocks().mono)
   , last_tick_at_(started_at_)
+  , crash_reminder_random_(self_.boot_id)
   , no_live_peer_since_(started_at_)
 {
   traffic_.on_server_unreachable = [this] {
@@ -95,6 +96,14 @@
       },
       Qt::QueuedConnection);
   };
+  traffic_.on_server_crashed = [this](const report_crash& report) {
+    QMetaObject::invokeMethod(
+      &context_, [this, report] { record_crash(report); }, Qt::QueuedConnection);
+  };
+  traffic_.on_request_acquitted = [this](const request_digest& request) {
+    QMetaObject::invokeMethod(
+      &context_, [this, request] { record_acquittal(request); }, Qt::QueuedConnection);
+  };
 }
 
 proxy_node::~proxy_node() = default;
@@ -133,7 +142,7 @@
   metrics_listener_.on_connection = [this](qintptr at) { accept_metrics_scrape(at); };
   config_listener_.on_connection = [this](qintptr at) { accept_config_request(at); };
   QObject::connect(
-    &beacon_socket_, &QUdpSocket::readyRead, &context_, [this] { receive_beacons(); });
+    &beacon_socket_, &QUdpSocket::readyRead, &context_, [this] { receive_datagrams(); });
   BOOST_LEAF_CHECK(traffic_.start());
   QObject::connect(&tick_timer_, &QTimer::timeout, &context_, [this] { tick(); });
   tick_timer_.start(TICK_INTERVAL_MS);
@@ -159,6 +168,8 @@
     --broadcasts_remaining_;
     broadcast_beacon();
   }
+  send_crash_news();
+  remind_of_crashes(now);
   log_dropped_lines(now);
   advance_discovery();
   probe_server();
@@ -247,6 +258,7 @@
   std::vector<beacon_batch> plan = plan_urgent_beacons(peers_, self_, urgent_nodes_);
   if (!new_peers_.empty()) {
     plan.push_back({ { new_peers_.begin(), new_peers_.end() }, { self_.id } });
+    tell_new_peers_of_crashes();
   }
   urgent_nodes_.clear();
   new_peers_.clear();
@@ -278,38 +290,36 @@
     }
     const std::vector<std::string> datagrams = encode_beacons(batch_beacons);
     for (const node_id& target : batch.targets) {
-      const QHostAddress host(QString::fromStdString(peers_.peers().at(target).beacon.host));
-      for (const std::string& bytes : datagrams) {
-        beacon_socket_.writeDatagram(bytes.data(),
-                                     static_cast<qint64>(bytes.size()),
-                                     host,
-                                     static_cast<std::uint16_t>(options_.peers_port + 1));
-      }
+      send_datagrams(datagrams, peers_.peers().at(target).beacon.host);
     }
   }
 }
 
 void
-proxy_node::receive_beacons()
+proxy_node::send_datagrams(const std::vector<std::string>& datagrams, const std::string& host)
+{
+  const QHostAddress address(QString::fromStdString(host));
+  for (const std::string& bytes : datagrams) {
+    beacon_socket_.writeDatagram(bytes.data(),
+                                 static_cast<qint64>(bytes.size()),
+                                 address,
+                                 static_cast<std::uint16_t>(options_.peers_port + 1));
+  }
+}
+
+void
+proxy_node::receive_datagrams()
 {
   bool has_changed = false;
   while (beacon_socket_.hasPendingDatagrams()) {
-    const QByteArray bytes = beacon_socket_.receiveDatagram(BEACON_DATAGRAM_BYTES_MAX + 1).data();
-    leaf::try_handle_all(
-      [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(datagram,
-                        parse_beacons({ bytes.data(), static_cast<std::size_t>(bytes.size()) }));
-        report_rejected_records("beacons", datagram.rejected_beacons);
-        for (const node_beacon& beacon : datagram.beacons) {
-          has_changed = handle_beacon(beacon) || has_changed;
-        }
-        return {};
-      },
-      [&](const frame_error& error) {
-        refused_inputs_.report(
-          "beacons", { { "fault", enum_name(error.fault) } }, read_clocks().mono);
-      },
-      [&] { count(counter_id::inputs_refused); });
+    const QNetworkDatagram datagram = beacon_socket_.receiveDatagram(BEACON_DATAGRAM_BYTES_MAX + 1);
+    const QByteArray data = datagram.data();
+    const std::string_view bytes(data.data(), static_cast<std::size_t>(data.size()));
+    if (has_crash_records(bytes)) {
+      receive_crash_records(bytes, datagram.senderAddress());
+    } else {
+      has_changed = receive_beacons(bytes) || has_changed;
+    }
   }
   // Most beacons only repeat what is known. The next tick covers what depends on the time.
   if (has_changed) {
@@ -317,6 +327,27 @@
   }
 }
 
+bool
+proxy_node::receive_beacons(std::string_view datagram)
+{
+  bool has_changed = false;
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(content, parse_beacons(datagram));
+      report_rejected_records("beacons", content.rejected_beacons);
+      for (const node_beacon& beacon : content.beacons) {
+        has_changed = handle_beacon(beacon) || has_changed;
+      }
+      return {};
+    },
+    [&](const frame_error& error) {
+      refused_inputs_.report(
+        "beacons", { { "fault", enum_name(error.fault) } }, read_clocks().mono);
+    },
+    [&] { count(counter_id::inputs_refused); });
+  return has_changed;
+}
+
 bool
 proxy_node::handle_beacon(const node_beacon& beacon)
 {
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -51,6 +51,13 @@
     mono_ms started_at = 0;                ///< When the peer was asked.
   };
 
+  /** A crash record that is sent to all peers. */
+  struct crash_news
+  {
+    crash_record record;
+    int remaining = 0; ///< Remaining number of times.
+  };
+
   // proxy_node.cpp: timer ticks, beacons and shutdown.
   void tick();
   void detect_pause(mono_ms now);
@@ -62,7 +69,11 @@
   void broadcast_beacon();
   void log_dropped_lines(mono_ms now);
   void send(const std::vector<beacon_batch>& plan);
-  void receive_beacons();
+  /** Sends datagrams to the control port of the proxy on a host. */
+  void send_datagrams(const std::vector<std::string>& datagrams, const std::string& host);
+  void receive_datagrams();
+  /** Handles a datagram with beacons. Returns whether it changed what is known of the peers. */
+  bool receive_beacons(std::string_view datagram);
   /** Handles the beacon of a peer. Returns whether it changed what is known of the peer. */
   bool handle_beacon(const node_beacon& beacon);
   void publish_peers();
@@ -70,6 +81,21 @@
   void advance_shutdown(mono_ms now);
   bool is_ready() const;
 
+  // proxy_crash_news.cpp: requests that were at work when servers crashed.
+  /** Records that the local server crashed. */
+  void record_crash(const report_crash& report);
+  /** Records that the local server completed a request that crashes speak against. */
+  void record_acquittal(const request_digest& request);
+  /** Sends records to all peers, and passes the changed suspects on to the traffic thread. */
+  void announce_crash_news(const std::vector<crash_record>& news);
+  void publish_suspects();
+  void send_crash_news();
+  void send_crash_records(const std::vector<crash_record>& records,
+                          const std::vector<node_id>& targets);
+  void remind_of_crashes(mono_ms now);
+  void tell_new_peers_of_crashes();
+  void receive_crash_records(std::string_view datagram, const QHostAddress& sender);
+
   // proxy_directory.cpp: discovery of peers through the store.
   /** Registers this node in the directory or reads the directory, whichever is due. */
   void advance_discovery();
@@ -144,6 +170,12 @@
   std::set<node_id> urgent_nodes_;     ///< Nodes whose beacons are sent ahead of the next round.
   std::set<node_id> new_peers_;        ///< New peers that are sent this node's beacon immediately.
   int broadcasts_remaining_ = 0;       ///< Remaining broadcasts that announce a new version.
+  crash_registry crashes_;             ///< Crashes of all servers.
+  crash_view_ptr suspects_ =
+    std::make_shared<const crash_view>();    ///< As the traffic thread has it.
+  std::vector<crash_news> crash_news_;       ///< Records that are being sent to all peers.
+  random_source crash_reminder_random_;      ///< Chooses the peers to remind.
+  mono_ms next_crash_reminder_at_ = 0;       ///< When peers are next reminded.
   mono_ms next_dropped_lines_report_at_ = 0; ///< When dropped log lines are next reported.
   std::uint64_t dropped_lines_reported_ = 0; ///< Total of dropped log lines in the latest report.
   bool is_peer_view_stale_ = false; ///< A peer changed since the traffic thread got its view.
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -49,6 +49,16 @@
     fail_server_request(id, failure_reason::no_server, outcome::not_run, 0);
     return id;
   }
+  // The proxy of the caller may not know yet that servers crash on the request.
+  if (!proxy_.suspects->empty()) {
+    const std::int64_t wait =
+      rejection_ms(*proxy_.suspects, digest_request(identity_of(request)), now);
+    if (wait > 0) {
+      count(counter_id::suspects_rejected);
+      fail_server_request(id, failure_reason::crashes_servers, outcome::not_run, wait);
+      return id;
+    }
+  }
   if (proxy_.shutdown_at && request.deadline > *proxy_.shutdown_at) {
     fail_server_request(id, failure_reason::draining, outcome::not_run, 0);
     return id;
@@ -179,6 +189,9 @@
     stream->abort();
   }
   raise_slot_event(slot_finished{ id, verdict == platform::response_verdict::valid });
+  if (verdict == platform::response_verdict::valid) {
+    raise_crash_event(request_survived{ identity_of(request) });
+  }
   if (verdict == platform::response_verdict::not_run) {
     fail_server_request(id, failure_reason::shed, outcome::not_run, 0);
     return;
@@ -228,6 +241,11 @@
   }
   found->second.stream.reset();
   raise_slot_event(slot_finished{ id, false });
+  if (why == http_client_error::never_sent) {
+    raise_crash_event(connection_failed{});
+  } else if (why != http_client_error::malformed) {
+    raise_crash_event(request_lost{ identity_of(found->second) });
+  }
   switch (why) {
     case http_client_error::never_sent:
       if (on_server_unreachable) {
@@ -284,6 +302,7 @@
   }
   if (found->second.stream) {
     found->second.stream->abort();
+    raise_crash_event(request_abandoned{ identity_of(found->second) });
   }
   end_server_request(id);
   raise_slot_event(slot_cancelled{ id });
@@ -300,6 +319,7 @@
   const bool was_sent = found->second.stream != nullptr;
   if (was_sent) {
     found->second.stream->abort();
+    raise_crash_event(request_abandoned{ identity_of(found->second) });
   }
   fail_server_request(
     id, failure_reason::timed_out, was_sent ? outcome::unknown : outcome::not_run, 0);
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -33,8 +33,10 @@
   , response_memory_(
       std::make_shared<response_memory>(options.memory_bytes / RESPONSE_MEMORY_DIVISOR))
   , bulk_pacer_(options.link_bytes_per_ms)
+  , crash_detector_(random_source(self.boot_id))
 {
   proxy_.self = self;
+  proxy_.caller_service = options.service;
   set_peer_view(proxy_, std::make_shared<peer_view>(peer_view{ { self.id, self } }));
   proxy_.limits = limits;
   proxy_.random.seed(self.boot_id);
@@ -169,19 +171,33 @@
 }
 
 void
-proxy_traffic::set_server(const server_status& status)
+proxy_traffic::set_suspects(crash_view_ptr suspects)
 {
-  post([this, status] {
-    const bool is_new = status.instance != server_.instance;
+  post([this, suspects = std::move(suspects)] { proxy_.suspects = suspects; });
+}
+
+void
+proxy_traffic::set_server(const server_status& status, std::uint64_t incarnation)
+{
+  post([this, status, incarnation] {
+    const bool is_new = incarnation != server_incarnation_;
+    const auto takes_work_in = [](server_state state) {
+      return state == server_state::ready || state == server_state::cold;
+    };
     if (is_new) {
       for (const idle_stream& item : idle_streams_) {
         item.stream->abort();
       }
       idle_streams_.clear();
     }
+    const bool takes_work = takes_work_in(status.state);
+    if (takes_work && (is_new || !takes_work_in(server_.state))) {
+      raise_crash_event(server_started{ is_new });
+    } else if (status.state == server_state::draining) {
+      raise_crash_event(server_leaving{});
+    }
     server_ = status;
-    const bool takes_work =
-      status.state == server_state::ready || status.state == server_state::cold;
+    server_incarnation_ = incarnation;
     raise_slot_event(slot_server_changed{ status.slots, takes_work, is_new });
   });
 }
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -62,6 +62,10 @@
 public:
   std::function<void()> on_server_unreachable; ///< Called on the traffic thread when no connection
                                                ///< to the local server could be opened.
+  /** Called on the traffic thread when the local server crashed, and when it completed a request
+   * that is suspected of crashing servers. */
+  std::function<void(const report_crash&)> on_server_crashed;
+  std::function<void(const request_digest&)> on_request_acquitted;
 
   /** Creates the traffic thread's state without starting the thread. `limits` are the limits on
    * retries, and `self` is this node's beacon. */
@@ -81,8 +85,12 @@
    * alive are closed if they carry no open calls. */
   void set_peers(peer_view_ptr view);
 
-  /** Replaces the status of the local server. Idle connections to a former instance are closed. */
-  void set_server(const server_status& status);
+  /** Replaces the status of the local server. `incarnation` numbers its processes. Idle connections
+   * to a former one are closed. */
+  void set_server(const server_status& status, std::uint64_t incarnation);
+
+  /** Replaces the requests that were at work when servers crashed. */
+  void set_suspects(crash_view_ptr suspects);
 
   /** Starts to close callers' connections, each as soon as its requests are answered. New requests,
    * of callers and to the local server, are refused if their deadline is after `shutdown_at`, the
@@ -242,6 +250,14 @@
   /** Returns the load of the local server for a report to other proxies. */
   load_report current_load() const;
 
+  // proxy_crash_detection.cpp: requests at work when the local server crashes.
+  void raise_crash_event(const crash_event& event);
+  /** Finds out after a short time whether the port of the local server is closed. */
+  void check_server_port();
+  void connect_to_server_port();
+  /** Returns what identifies a request to the local server; refers to the request. */
+  static request_identity identity_of(const server_request& request);
+
   // proxy_server.cpp: requests to the local server.
   slot_ticket add_server_request(const request_origin& origin, call_open&& call);
   void raise_slot_event(const slot_event& event);
@@ -282,6 +298,10 @@
   bool is_bulk_scheduled_ = false;        ///< A call of send_due_bulk() is scheduled.
   slot_queue slots_;                      ///< Decides which of them occupy the slots of the server.
   server_status server_;                  ///< Status of the local server.
+  std::uint64_t server_incarnation_ = 0;  ///< Number of its process.
+  crash_detector crash_detector_;         ///< Finds the requests on which it crashes.
+  bool is_port_check_pending_ = false;    ///< A check of its port is scheduled or under way.
+  mono_ms next_port_check_at_ = 0;        ///< Earliest time of the next check.
   std::vector<idle_stream> idle_streams_; ///< Idle connections to the local server, latest last.
   pause_monitor pauses_;                  ///< Notices pauses of this process.
   log_rate_limiter log_rate_limiter_;     ///< Limits the rate of log lines about requests.
--- a/src/process/server_watch.cpp
+++ b/src/process/server_watch.cpp
@@ -36,6 +36,7 @@
   }
   if (!is_same_process) {
     has_left_ = false;
+    ++incarnation_;
   }
   has_left_ = has_left_ || from.state == server_state::draining || has_deregistered(from);
   server_state state = has_left_ ? server_state::draining : server_state::ready;
@@ -79,6 +80,7 @@
     return false;
   }
   current_status_ = { service, instance, slots, server_state::ready };
+  ++incarnation_;
   last_received_at_ = now;
   return true;
 }
--- a/src/process/server_watch_base.h
+++ b/src/process/server_watch_base.h
@@ -96,6 +96,9 @@
    * receive heartbeats. */
   void restart_liveness_timeout(mono_ms now) { last_received_at_ = now; }
 
+  /** Returns the number of the server's current process; 0: none has announced itself. */
+  std::uint64_t incarnation() const { return incarnation_; }
+
   /** Returns the status of the server, as it is sent to peers. */
   const server_status& current_status() const { return current_status_; }
 
@@ -107,6 +110,7 @@
   std::int64_t liveness_timeout_ms_; ///< Time without a heartbeat until it counts as down.
   server_status current_status_;     ///< Status as it is sent to peers.
   std::optional<unix_ms> instance_started_at_; ///< Start of the current incarnation, if announced.
+  std::uint64_t incarnation_ = 0;              ///< Number of processes that announced themselves.
   std::uint64_t sequence_ = 0;                 ///< Sequence number of the latest heartbeat.
   mono_ms last_received_at_ = 0; ///< When the latest heartbeat or health check arrived.
   bool has_left_ = false;        ///< The current incarnation is draining or deregistered.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -80,6 +80,12 @@
   /** Returns whether the request may be retried after an attempt that reached a server, and if
    * so takes a retry from the budget. `result` tells whether that attempt ran. */
   bool may_retry(outcome result);
+  /** Returns the digests of the request, or no value while no request is suspected of crashing
+   * servers. */
+  const std::optional<request_digests>& suspect_digests();
+  /** Returns how long the request is rejected because servers have crashed on it, in ms; 0: it is
+   * not. */
+  std::int64_t suspect_rejection_ms();
   /** Marks an attempt as closed and removes it from the in-flight counts. */
   void close(exchange_attempt_index attempt);
   /** Records the network time of an attempt to another region, if its expected size in bytes counts
@@ -130,6 +136,11 @@
     refuse(STATUS_UNAVAILABLE, failure_reason::draining, RETRY_AFTER_DEFAULT_MS);
     return;
   }
+  if (const std::int64_t wait = suspect_rejection_ms(); wait > 0) {
+    count(counter_id::suspects_rejected);
+    refuse(STATUS_UNAVAILABLE, failure_reason::crashes_servers, wait);
+    return;
+  }
   exchange_.service = choose_service();
   proxy_.retry_budgets[exchange_.service].record_request(now_);
   if (!try_server()) {
@@ -267,10 +278,31 @@
   }
 }
 
+const std::optional<request_digests>&
+exchange_handler::suspect_digests()
+{
+  if (!exchange_.digests && !proxy_.suspects->empty()) {
+    exchange_.digests = digest_request(
+      { exchange_.head.method, exchange_.head.target, exchange_.body, proxy_.caller_service });
+  }
+  return exchange_.digests;
+}
+
+std::int64_t
+exchange_handler::suspect_rejection_ms()
+{
+  return suspect_digests() ? rejection_ms(*proxy_.suspects, *exchange_.digests, now_) : 0;
+}
+
 bool
 exchange_handler::may_retry(outcome result)
 {
   const bool is_safe = result == outcome::not_run || is_idempotent(exchange_.rule->kind);
+  const bool is_suspect = result == outcome::unknown && suspect_digests() &&
+                          !may_retry_suspect(*proxy_.suspects, *exchange_.digests);
+  if (is_suspect || suspect_rejection_ms() > 0) {
+    return false;
+  }
   const auto attempts_max = static_cast<std::size_t>(exchange_.rule->attempts_max);
   return is_safe && exchange_.delivered_attempts < attempts_max &&
          exchange_.deadline - now_ > REMAINING_TIME_MIN_MS &&
@@ -343,9 +375,10 @@
     if (event.reason == failure_reason::queue_full) {
       proxy_.tracker.record_full(node, exchange_.rule->priority, event.retry_after_ms, now_);
     }
-    const bool may_send_elsewhere = exchange_.rejected_attempts < REJECTED_ATTEMPTS_MAX &&
-                                    event.reason != failure_reason::too_late &&
-                                    exchange_.deadline - now_ > REMAINING_TIME_MIN_MS;
+    const bool may_send_elsewhere =
+      exchange_.rejected_attempts < REJECTED_ATTEMPTS_MAX &&
+      event.reason != failure_reason::too_late && event.reason != failure_reason::crashes_servers &&
+      suspect_rejection_ms() == 0 && exchange_.deadline - now_ > REMAINING_TIME_MIN_MS;
     if (!may_send_elsewhere || !try_server()) {
       fail_request(event.reason);
     }
@@ -459,6 +492,9 @@
     fields.push_back({ "node", exchange_.attempts.back().node });
   }
   const bool is_routine = status >= STATUS_OK && status < STATUS_REDIRECT;
+  if (exchange_.digests && !is_routine) {
+    fields.push_back({ "digest", format_digest(exchange_.digests->exact) });
+  }
   effects_.emplace_back(exchange_log{ log_event::request_done, std::move(fields), is_routine });
 }
 
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -5,6 +5,7 @@
 // node.
 #pragma once
 #include "congestion_policy.h"
+#include "crash_policy.h"
 #include "fleet_retry_policy.h"
 #include "server_choice_policy.h"
 #include "table/failure_response_table.h"
@@ -136,16 +137,19 @@
   bool found_full_server = false;         ///< Whether a server was skipped because it is full.
   bool may_have_run = false;              ///< Whether an attempt that failed may have run.
   bool is_done = false;                   ///< Whether the request is over.
+  /** Digests of the request; set once some request is suspected of crashing servers. */
+  std::optional<request_digests> digests;
 };
 
 /** State that the requests of one proxy share. */
 struct proxy_state
 {
-  node_beacon self;                                       ///< This node.
-  peer_view_ptr view;                                     ///< The live nodes, including this one.
-  server_index servers;                                   ///< The servers of these nodes.
-  server_tracker tracker;                                 ///< Load and health of the servers.
-  congestion_control congestion;                          ///< Limits the traffic to other regions.
+  node_beacon self;              ///< This node.
+  service_id caller_service;     ///< Service on the VM of this node, which its callers belong to.
+  peer_view_ptr view;            ///< The live nodes, including this one.
+  server_index servers;          ///< The servers of these nodes.
+  server_tracker tracker;        ///< Load and health of the servers.
+  congestion_control congestion; ///< Limits the traffic to other regions.
   std::map<service_id, fleet_retry_budget> retry_budgets; ///< Retry budgets by service.
   /** By rule with several targets: the number of requests that each target is behind its share. */
   std::unordered_map<std::string, std::vector<double>> split_deficits;
@@ -154,6 +158,8 @@
   /** Average service time in the fleet, by rule. */
   std::unordered_map<std::string, double> fleet_service_ms;
   retry_limits limits; ///< Retry budget of the fleet.
+  /** The requests that were at work when servers crashed. */
+  crash_view_ptr suspects = std::make_shared<const crash_view>();
   /** Time at which the requests that are still open are ended, shortly before the process ends. Set
    * once a shutdown closes callers' connections. */
   std::optional<mono_ms> shutdown_at;
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -5,6 +5,7 @@
 #include "bulk_pacing_policy.h"           // IWYU pragma: export
 #include "call_policy.h"                  // IWYU pragma: export
 #include "congestion_policy.h"            // IWYU pragma: export
+#include "crash_policy.h"                 // IWYU pragma: export
 #include "exchange_policy.h"              // IWYU pragma: export
 #include "fleet_retry_policy.h"           // IWYU pragma: export
 #include "key_policy.h"                   // IWYU pragma: export
--- a/src/request/table/failure_response_table.h
+++ b/src/request/table/failure_response_table.h
@@ -37,6 +37,7 @@
   { failure_reason::response_truncated, outcome::unknown, 502, true,  0 },
   { failure_reason::timed_out,          outcome::unknown, 504, false, 0 },
   { failure_reason::cancelled,          outcome::unknown, 499, false, 0 },
+  { failure_reason::crashes_servers,    outcome::not_run, 503, false, 0 },
 } };
 // clang-format on
 
--- a/tests/connection/proxy_codec_test.cpp
+++ b/tests/connection/proxy_codec_test.cpp
@@ -56,6 +56,55 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(crash_records_round_trip_through_datagrams)
+{
+  static constexpr mono_ms NOW = 1'000'000;
+  std::vector<crash_record> records;
+  for (std::uint64_t i = 1; i <= 100; ++i) {
+    records.push_back({ { UINT64_MAX - i, i << 40U }, UINT64_MAX - i, NOW - 5000, i % 2 == 0 });
+  }
+  std::vector<crash_record> read;
+  for (const std::string& bytes : encode_crash_records(records, NOW)) {
+    BOOST_TEST(bytes.size() <= BEACON_DATAGRAM_BYTES_MAX);
+    BOOST_TEST(has_crash_records(bytes));
+    // A build that doesn't know crash records rejects the datagram.
+    BOOST_TEST(!value_of([&] { return parse_beacons(bytes); }).has_value());
+    const auto report = value_of([&] { return parse_crash_records(bytes, NOW + 77); });
+    BOOST_REQUIRE(report.has_value());
+    for (crash_record item : report->records) {
+      item.happened_at -= 77; // The clock of the receiver.
+      read.push_back(item);
+    }
+  }
+  BOOST_TEST((read == records));
+  const node_beacon beacon = make_beacon();
+  BOOST_TEST(!has_crash_records(encode_beacons({ &beacon }).at(0)));
+}
+
+BOOST_AUTO_TEST_CASE(odd_crash_records_are_left_out)
+{
+  using nlohmann::json;
+  const json items = { 101, { 1, 2, 3, 4, false }, { 1, 2, 0, 4, false },    { 1, 2, 3, -4, false },
+                       7,   { 1, 2, 3, 4 },        { 1, 2, 3, 1e300, false } };
+  std::string bytes;
+  json::to_msgpack(items, bytes);
+  const auto report = value_of([&] { return parse_crash_records(bytes, 100); });
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report->records.size() == 1U);
+  BOOST_TEST(report->rejected_records == 5U);
+  std::mt19937 random(28);
+  const std::string valid = encode_crash_records({ { { 1, 2 }, 3, 50, false } }, 100).at(0);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string damaged = valid.substr(0, random() % (valid.size() + 1));
+    for (int changes = static_cast<int>(random() % 4); changes > 0 && !damaged.empty(); --changes) {
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    }
+    const auto read = value_of([&] { return parse_crash_records(damaged, 100); });
+    BOOST_TEST((!read || read->records.size() <= 1U));
+  }
+  BOOST_TEST(!value_of([&] { return parse_crash_records(std::string(1000, '\x91'), 1); }));
+}
+
 BOOST_AUTO_TEST_CASE(directory_entries_round_trip)
 {
   const auto read =
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -146,11 +146,29 @@
 
   explicit scripted_server(boost::asio::io_context& context)
     : acceptor_(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , port_(acceptor_.local_endpoint().port())
   {
     accept();
   }
 
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::uint16_t port() const { return port_; }
+
+  /** Ends the server as a crash does: its port and all connections are closed. */
+  void crash()
+  {
+    acceptor_.close();
+    for (const scripted_connection_ptr& item : accepted) {
+      item->close();
+    }
+    accepted.clear();
+  }
+
+  /** Opens the port again after a crash. */
+  void restart()
+  {
+    acceptor_ = { acceptor_.get_executor(), { boost::asio::ip::make_address("127.0.0.1"), port_ } };
+    accept();
+  }
 
 private:
   void accept()
@@ -173,6 +191,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::uint16_t port_;
 };
 
 /** Runs an event loop until a condition holds, at most 20 s. Returns whether it holds. */
--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -111,8 +111,105 @@
   std::unique_ptr<proxy_node> node;
 };
 
+/** A proxy in the same zone, played by the test. */
+class fake_peer
+{
+public:
+  fake_peer(const QString& host, std::uint16_t port_of_all)
+    : port_(port_of_all)
+  {
+    beacon_.id = "p" + host.toStdString();
+    beacon_.region = "r";
+    beacon_.zone = "z";
+    beacon_.host = host.toStdString();
+    BOOST_REQUIRE(socket_.bind(QHostAddress(host), port_));
+    QObject::connect(&socket_, &QUdpSocket::readyRead, &socket_, [this] { receive(); });
+  }
+
+  /** Sends the beacon of a process of this peer. */
+  void send_beacon(std::uint64_t boot_id)
+  {
+    beacon_.boot_id = boot_id;
+    ++beacon_.sequence;
+    send(encode_beacons({ &beacon_ }));
+  }
+
+  /** Sends crash records to the proxy under test. */
+  void send_records(const std::vector<crash_record>& records)
+  {
+    send(encode_crash_records(records, read_clocks().mono));
+  }
+
+  crash_registry received; ///< From the records that arrived.
+
+private:
+  void send(const std::vector<std::string>& datagrams)
+  {
+    for (const std::string& bytes : datagrams) {
+      socket_.writeDatagram(
+        bytes.data(), static_cast<qint64>(bytes.size()), QHostAddress("127.0.0.1"), port_);
+    }
+  }
+
+  void receive()
+  {
+    while (socket_.hasPendingDatagrams()) {
+      const QByteArray data = socket_.receiveDatagram().data();
+      const std::string_view bytes(data.data(), static_cast<std::size_t>(data.size()));
+      if (has_crash_records(bytes)) {
+        const mono_ms now = read_clocks().mono;
+        boost::leaf::try_handle_all(
+          [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(report, parse_crash_records(bytes, now));
+            for (const crash_record& record : report.records) {
+              received.add(record, now);
+            }
+            return {};
+          },
+          [] { BOOST_ERROR("odd crash records"); });
+      }
+    }
+  }
+
+  std::uint16_t port_;
+  node_beacon beacon_;
+  QUdpSocket socket_;
+};
+
 BOOST_FIXTURE_TEST_SUITE(proxy_nodes, node_fixture)
 
+// Guards against a proxy that was restarted, or missed the news, and sends a request on that has
+// crashed servers.
+BOOST_AUTO_TEST_CASE(proxies_that_missed_crashes_learn_of_them)
+{
+  start();
+  const auto port = static_cast<std::uint16_t>(options.peers_port + 1);
+  fake_peer first("127.0.0.2", port);
+  fake_peer second("127.0.0.3", port);
+  first.send_beacon(1);
+  second.send_beacon(1);
+  run_for(200);
+  const mono_ms now = read_clocks().mono;
+  first.send_records({ { { 1, 1 }, 11, now, false },
+                       { { 1, 1 }, 12, now, false },
+                       { { 1, 1 }, 13, now, false },
+                       { { 2, 2 }, 11, now, false } });
+  BOOST_TEST(run_until([&] { return second.received.size() > 0; }));
+  BOOST_TEST(second.received.build_view()->at({ 1, 1 }).crashes == 3U);
+  // A restarted process hears of it as soon as it is seen, before the next reminder.
+  second.received = {};
+  second.send_beacon(2);
+  run_for(60);
+  BOOST_TEST(second.received.size() == 1U);
+  // A peer that has missed an acquittal is corrected.
+  first.send_records(
+    { { { 1, 1 }, 11, now, true }, { { 1, 1 }, 12, now, true }, { { 1, 1 }, 13, now, true } });
+  run_for(100);
+  second.received = {};
+  second.send_records({ { { 1, 1 }, 12, now, false } });
+  BOOST_TEST(run_until([&] { return second.received.is_acquitted({ 1, 1 }, 12); }));
+}
+
 BOOST_AUTO_TEST_CASE(odd_directory_entries_do_not_hide_the_others)
 {
   const std::string deep(1000, '\x91');
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -73,7 +73,10 @@
     document.services.push_back({ "shop", "" });
     traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
     traffic->set_peers(std::make_shared<peer_view>(peer_view{ { "a", self } }));
-    traffic->set_server(self.server);
+    traffic->set_server(self.server, 1);
+    traffic->on_server_crashed = [this](const report_crash& report) {
+      boost::asio::post(context, [this, report] { crashes.push_back(report); });
+    };
     boost::leaf::try_handle_all([this] { return traffic->start(); },
                                 [] { BOOST_FAIL("the ports can't be opened"); });
   }
@@ -100,6 +103,7 @@
   proxy_settings options;
   std::unique_ptr<proxy_traffic> traffic;
   caller_record record;
+  std::vector<report_crash> crashes; ///< Reports of crashes of the server.
 };
 
 /** Callers that keep up a load of about 1,000 requests a second. */
@@ -254,6 +258,72 @@
   BOOST_TEST(peak - before < MEMORY_MAX);
 }
 
+// Guards against a request that crashes servers without being noticed, and against taking any lost
+// connection for a crash.
+BOOST_AUTO_TEST_CASE(only_the_end_of_the_server_is_reported_as_a_crash)
+{
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    if (head.starts_with("GET /lost")) {
+      to->close();
+    } else if (head.starts_with("GET /odd")) {
+      boost::asio::post(context, [this] { server.crash(); });
+    } else {
+      to->send_later(response_to(head, "hello"), 2000ms);
+    }
+  };
+  const auto caller = call();
+  caller->send("r1", "/lost");
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("r1"); }));
+  run_for(400ms);
+  BOOST_TEST(crashes.empty());
+  const auto beside = call();
+  beside->send("r2", "/slow");
+  run_for(50ms);
+  caller->send("r3", "/odd");
+  BOOST_TEST(run_until(context, [this] { return !crashes.empty(); }));
+  run_for(400ms);
+  const auto count_reports = [this](const std::string& target) {
+    const request_digest digest = digest_request({ "GET", target, "", "shop" }).exact;
+    return std::count_if(crashes.begin(), crashes.end(), [&](const report_crash& report) {
+      return std::find(report.requests.begin(), report.requests.end(), digest) !=
+             report.requests.end();
+    });
+  };
+  BOOST_TEST(count_reports("/odd") == 1);
+  BOOST_TEST(count_reports("/slow") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(proxy_beside_the_server_rejects_a_request_that_others_still_send)
+{
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    to->send(response_to(head, "hello"));
+  };
+  crash_registry registry;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    registry.add(
+      { digest_request({ "GET", "/odd", "", "other" }).exact, crash, read_clocks().mono, false },
+      read_clocks().mono);
+  }
+  traffic->set_suspects(registry.build_view());
+  call_open call;
+  call.id = 1;
+  call.head = { "GET", "/odd", { { "Host", "h" } } };
+  call.service = "shop";
+  call.caller_service = "other";
+  call.timeout_ms = 2000;
+  call.objective_ms = 1000;
+  boost::asio::ip::tcp::socket link(context);
+  link.connect({ boost::asio::ip::make_address("127.0.0.1"), options.peers_port });
+  boost::asio::write(link, boost::asio::buffer(encode_traffic(call)));
+  std::array<char, 1024> buffer{};
+  std::string reply;
+  link.async_read_some(boost::asio::buffer(buffer),
+                       [&](auto, std::size_t count) { reply.assign(buffer.data(), count); });
+  BOOST_TEST(run_until(context, [&] { return !reply.empty(); }));
+  BOOST_TEST(reply.find("crashes_servers") != std::string::npos);
+  BOOST_TEST(server.requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(calls_that_ended_during_a_pause_are_not_started)
 {
   // Another proxy sent two calls while this one was paused. It cancelled one of them, and then the
--- a/tests/request/exchange_test.cpp
+++ b/tests/request/exchange_test.cpp
@@ -88,6 +88,17 @@
     return text;
   }
 
+  /** Makes the proxy know of crashes at which a request was at work. */
+  void add_crashes(const std::string& target, std::uint64_t crashes)
+  {
+    crash_registry registry;
+    const request_digest digest = digest_request({ "GET", target, "", "other" }).any_caller;
+    for (std::uint64_t crash = 1; crash <= crashes; ++crash) {
+      registry.add({ digest, crash, 0, false }, 0);
+    }
+    proxy.suspects = registry.build_view();
+  }
+
   proxy_state proxy;       ///< State shared by the requests.
   route_table_ptr table;   ///< The configuration.
   exchange_state exchange; ///< The request under test.
@@ -188,6 +199,37 @@
   BOOST_TEST(start("/read/1") == ">b ");
 }
 
+// Guards against a request that crashes servers being sent to one after the other.
+BOOST_AUTO_TEST_CASE(request_that_crashed_servers_is_rejected_at_once)
+{
+  add_crashes("/read/odd", 3);
+  BOOST_TEST(start("/read/odd") == "503:crashes_servers+ ");
+  BOOST_TEST(start("/read/1") == ">b ");
+}
+
+BOOST_AUTO_TEST_CASE(request_that_crashed_two_servers_is_not_retried)
+{
+  add_crashes("/read/odd", 2);
+  start("/read/1");
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::server_lost, outcome::unknown, 0, {} }, 5) ==
+             ">c! ");
+  BOOST_TEST(start("/read/odd") == ">c ");
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::server_lost, outcome::unknown, 0, {} }, 5) ==
+             "502:server_lost ");
+}
+
+BOOST_AUTO_TEST_CASE(request_that_is_found_while_it_waits_goes_nowhere_else)
+{
+  start("/read/odd");
+  add_crashes("/read/odd", 3);
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::queue_full, outcome::not_run, 80, {} }, 5) ==
+             "503:queue_full+ ");
+  proxy.suspects = std::make_shared<const crash_view>();
+  start("/read/odd");
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::crashes_servers, outcome::not_run, 9000, {} },
+                   5) == "503:crashes_servers+ ");
+}
+
 BOOST_AUTO_TEST_CASE(server_that_sends_no_valid_response_counts_as_failing)
 {
   for (int i = 0; i < 12; ++i) {
