Check a server's health before its first heartbeat after a restart counts

What callers saw: orders went to a server that had deregistered more than 2 s before, and those at work when it ended got 502.

Cause: the proxy beside a server keeps in memory which incarnations have left. A proxy that was restarted took any first heartbeat for news of a ready server, also one that was sent before the deregistration, and announced the server to all proxies.

Change: unless the whole fleet starts for the first time, the first heartbeat waits for a health check, which fails while a server leaves and names the instance that is running. A successful check of the same instance lets the heartbeat count; any other answer drops it. A server without a free slot is asked again. The check is made when the heartbeat arrives, and at once for each new incarnation, so that the next incarnation beside a restarted proxy gets work without delay; incarnations that start after a confirmed one need no check. What is known from a health check only no longer gives way to a heartbeat of another instance. Related: a deregistration counts by the start of the incarnation that it names and not by the clock of the VM, which may have jumped, and a late one of a former incarnation doesn't touch its successor of the same id.

Tests: server_liveness, proxy_nodes (late_heartbeat_after_a_restart_brings_no_server_back).

Not covered: services without a health check path, where nothing tells a late heartbeat from a new one.

--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -1,5 +1,6 @@
 // The HTTP ports of the control thread: announcements of the local backend server, readiness checks
-// of the platform, and metrics. Also the health check of a server that has not announced itself.
+// of the platform, and metrics. Also the health check of a server that has not announced itself, or
+// that first did so after a restart of this process.
 #include "proxy_node_base.h"
 
 namespace shallotfield {
@@ -14,6 +15,9 @@
 /** Time from one health check to the next, until a check succeeds or a heartbeat arrives. */
 static constexpr mono_ms PROBE_INTERVAL_MS = 1000;
 
+/** The same while a heartbeat waits for a health check. */
+static constexpr mono_ms CONFIRMATION_INTERVAL_MS = 250;
+
 /** Maximum duration of a health check. */
 static constexpr int PROBE_TIMEOUT_MS = 500;
 
@@ -105,11 +109,18 @@
         }
         if (effect == heartbeat_effect::changed) {
           publish_server_status();
+        } else if (effect == heartbeat_effect::unconfirmed) {
+          // A new incarnation doesn't wait because a former one was checked a moment ago.
+          if (item.instance != checked_instance_ || item.instance_started_at != checked_start_) {
+            next_probe_at_ = now;
+          }
+          probe_server();
         }
       },
       [&](const platform::server_deregistration& item) {
         session.respond(STATUS_OK, json, platform::ACKNOWLEDGEMENT);
-        const bool has_changed = server_.apply_deregistration(item.instance, read_clocks().unix);
+        const bool has_changed =
+          server_.apply_deregistration(item.instance, read_clocks().unix, item.instance_started_at);
         write_log(log_event::server_announced,
                   { { "instance", item.instance },
                     { "state", "gone" },
@@ -127,6 +138,33 @@
     platform::parse_announcement(request.head, request.body));
 }
 
+void
+proxy_node::handle_health_check(const response_head& head)
+{
+  const mono_ms now = read_clocks().mono;
+  const bool is_healthy = head.status == STATUS_OK;
+  const std::string instance = platform::read_instance(head);
+  // A server without a free slot says nothing about its health, so it is asked again.
+  if (!is_healthy && !platform::is_not_executed(head)) {
+    if (server_.unconfirmed()) {
+      write_log(log_event::server_announced,
+                { { "instance", server_.unconfirmed()->instance },
+                  { "status", head.status },
+                  { "effect", "not_confirmed" } });
+    }
+    server_.reject_unconfirmed();
+    return;
+  }
+  if (is_healthy &&
+      server_.apply_probe_result(instance, options_.service, PROBE_DEFAULT_SLOTS, now)) {
+    write_log(log_event::server_announced,
+              { { "instance", instance },
+                { "state", enum_name(server_.current_status().state) },
+                { "effect", "probed" } });
+    publish_server_status();
+  }
+}
+
 void
 proxy_node::publish_server_status()
 {
@@ -139,16 +177,26 @@
 proxy_node::probe_server()
 {
   const mono_ms now = read_clocks().mono;
-  const bool is_due = table_ && server_.current_status().instance.empty() && !probe_ &&
-                      now - started_at_ >= PROBE_DELAY_MS && now >= next_probe_at_;
+  const bool is_unconfirmed = server_.unconfirmed().has_value();
+  const bool is_unknown =
+    server_.current_status().instance.empty() && now - started_at_ >= PROBE_DELAY_MS;
+  const bool is_due = table_ && !probe_ && (is_unconfirmed || is_unknown) && now >= next_probe_at_;
   if (options_.is_first_start || !is_due) {
     return;
   }
-  const service_rule* service = table_->find_service(options_.service);
+  const service_rule* service =
+    table_->find_service(is_unconfirmed ? server_.unconfirmed()->service : options_.service);
   if (service == nullptr || service->health_path.empty()) {
+    if (server_.accept_unconfirmed(now)) {
+      publish_server_status();
+    }
     return;
   }
-  next_probe_at_ = now + PROBE_INTERVAL_MS;
+  if (is_unconfirmed) {
+    checked_instance_ = server_.unconfirmed()->instance;
+    checked_start_ = server_.unconfirmed()->instance_started_at;
+  }
+  next_probe_at_ = now + (is_unconfirmed ? CONFIRMATION_INTERVAL_MS : PROBE_INTERVAL_MS);
   probe_ = std::make_unique<http_client>(options_.server_address, PROBE_TIMEOUT_MS);
   const auto end_probe = [this] {
     std::shared_ptr<http_client> ended = std::move(probe_);
@@ -162,17 +210,16 @@
     if (!piece.head) {
       return;
     }
-    const bool is_healthy = piece.head->status == STATUS_OK;
-    const std::string instance = platform::read_instance(*piece.head);
+    const response_head head = *piece.head;
     end_probe();
-    if (is_healthy && server_.apply_probe_result(
-                        instance, options_.service, PROBE_DEFAULT_SLOTS, read_clocks().mono)) {
-      write_log(log_event::server_announced,
-                { { "instance", instance }, { "state", "ready" }, { "effect", "probed" } });
-      publish_server_status();
+    handle_health_check(head);
+  };
+  probe_->on_failed = [this, end_probe](http_client_error why) {
+    end_probe();
+    if (why == http_client_error::never_sent) {
+      server_.reject_unconfirmed();
     }
   };
-  probe_->on_failed = [end_probe](http_client_error) { end_probe(); };
   QTimer::singleShot(PROBE_TIMEOUT_MS, &context_, end_probe);
   probe_->send({ "GET", service->health_path, { { "Host", options_.server_address.host } } }, "");
 }
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -86,6 +86,10 @@
   , crash_reminder_random_(self_.boot_id)
   , no_live_peer_since_(started_at_)
 {
+  // When the whole fleet starts for the first time, no server can have left.
+  if (!options_.is_first_start) {
+    server_.require_confirmation();
+  }
   traffic_.on_server_unreachable = [this] {
     QMetaObject::invokeMethod(
       &context_,
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -132,7 +132,9 @@
   void accept_readiness_probe(qintptr descriptor);
   void accept_metrics_scrape(qintptr descriptor);
   void publish_server_status();
+  /** Checks the health of a server that is unknown, or whose heartbeat waits for a confirmation. */
   void probe_server();
+  void handle_health_check(const response_head& head);
 
   /** Accepts a connection and stores its HTTP session until the connection ends. */
   http_session& add_http_session(qintptr descriptor);
@@ -178,11 +180,13 @@
   mono_ms next_crash_reminder_at_ = 0;       ///< When peers are next reminded.
   mono_ms next_dropped_lines_report_at_ = 0; ///< When dropped log lines are next reported.
   std::uint64_t dropped_lines_reported_ = 0; ///< Total of dropped log lines in the latest report.
-  bool is_peer_view_stale_ = false; ///< A peer changed since the traffic thread got its view.
-  mono_ms next_probe_at_ = 0;       ///< Earliest time of the next health check.
-  mono_ms no_live_peer_since_ = 0;  ///< When a peer was last alive or the directory was read.
-  bool is_in_directory_ = false;    ///< The directory holds this node's address.
-  bool is_directory_read_ = false;  ///< The directory was read at least once.
+  bool is_peer_view_stale_ = false;      ///< A peer changed since the traffic thread got its view.
+  mono_ms next_probe_at_ = 0;            ///< Earliest time of the next health check.
+  std::string checked_instance_;         ///< Instance whose heartbeat was last checked.
+  std::optional<unix_ms> checked_start_; ///< Start of that incarnation, if announced.
+  mono_ms no_live_peer_since_ = 0;       ///< When a peer was last alive or the directory was read.
+  bool is_in_directory_ = false;         ///< The directory holds this node's address.
+  bool is_directory_read_ = false;       ///< The directory was read at least once.
   bool is_directory_call_pending_ = false; ///< A call to the directory is pending.
   mono_ms next_directory_call_at_ = 0;     ///< Earliest time of the next call to the directory.
   mono_ms leaving_since_ = 0;              ///< When leave() was called; 0: not yet.
--- a/src/process/server_watch_base.h
+++ b/src/process/server_watch_base.h
@@ -26,17 +26,20 @@
 /** How a heartbeat affected the state of the server. */
 enum class heartbeat_effect
 {
-  ignored,   ///< The heartbeat was late or repeated, or it came from another server.
-  refreshed, ///< The server is still alive and unchanged.
-  changed,   ///< The server's incarnation, service, slots or state changed.
+  ignored,     ///< The heartbeat was late or repeated, or it came from another server.
+  refreshed,   ///< The server is still alive and unchanged.
+  changed,     ///< The server's incarnation, service, slots or state changed.
+  unconfirmed, ///< It was stored, and counts once a health check confirms that the server runs and
+               ///< does not leave.
 };
 
-inline constexpr enum_table<heartbeat_effect, 3> HEARTBEAT_EFFECT_ROWS = { {
+inline constexpr enum_table<heartbeat_effect, 4> HEARTBEAT_EFFECT_ROWS = { {
   { heartbeat_effect::ignored, "ignored" },
   { heartbeat_effect::refreshed, "refreshed" },
   { heartbeat_effect::changed, "changed" },
+  { heartbeat_effect::unconfirmed, "unconfirmed" },
 } };
-static_assert(is_complete(HEARTBEAT_EFFECT_ROWS, heartbeat_effect::changed));
+static_assert(is_complete(HEARTBEAT_EFFECT_ROWS, heartbeat_effect::unconfirmed));
 
 /** Returns the name table of heartbeat effects. */
 constexpr const auto&
@@ -60,6 +63,24 @@
   {
   }
 
+  /**
+   * Makes the first heartbeats wait for a health check. A process that was restarted does not know
+   * which incarnations have left, and a heartbeat that one of them sent before may arrive late.
+   * Incarnations that start after one was confirmed need no check.
+   */
+  void require_confirmation() { needs_confirmation_ = true; }
+
+  /** Returns the heartbeat that waits for a health check, if any. */
+  const std::optional<server_heartbeat>& unconfirmed() const { return unconfirmed_; }
+
+  /** Drops the heartbeat that waits for a health check, because the server is not running or does
+   * not consider itself healthy, which it does not while it leaves. */
+  void reject_unconfirmed() { unconfirmed_.reset(); }
+
+  /** Accepts the heartbeat that waits for a health check. Returns whether the server's state
+   * changed. */
+  bool accept_unconfirmed(mono_ms now);
+
   /** Handles a received heartbeat. */
   heartbeat_effect apply_heartbeat(const server_heartbeat& from, mono_ms now);
 
@@ -67,14 +88,18 @@
    * Handles the deregistration of an instance, which announces that the instance leaves for good.
    * The deregistration is stored even if no heartbeat of the instance has arrived, because a
    * heartbeat that was sent earlier may still arrive. `at` is the wall-clock time of the
-   * deregistration; heartbeats of an incarnation that started later under the same id are accepted.
+   * deregistration, and `started_at` the start of the incarnation by the server's clock, if the
+   * server gave it; heartbeats of an incarnation that started later under the same id are accepted.
    * Returns whether the state of the current server changed.
    */
-  bool apply_deregistration(const std::string& instance, unix_ms at);
+  bool apply_deregistration(const std::string& instance,
+                            unix_ms at,
+                            std::optional<unix_ms> started_at = std::nullopt);
 
   /**
-   * Handles a successful health check. It is ignored once the server is known from a heartbeat or
-   * from an earlier check. Returns whether the server's state changed.
+   * Handles a successful health check. It confirms a waiting heartbeat of the same instance, and
+   * drops one of another instance. Otherwise it is ignored once the server is known from a
+   * heartbeat or from an earlier check. Returns whether the server's state changed.
    * @param instance Id of the instance that responded; if it is empty, the check is ignored.
    * @param service Service that the settings name.
    * @param slots Number of slots to assume until the server announces its own.
@@ -112,8 +137,12 @@
   std::optional<unix_ms> instance_started_at_; ///< Start of the current incarnation, if announced.
   std::uint64_t incarnation_ = 0;              ///< Number of processes that announced themselves.
   std::uint64_t sequence_ = 0;                 ///< Sequence number of the latest heartbeat.
-  mono_ms last_received_at_ = 0; ///< When the latest heartbeat or health check arrived.
-  bool has_left_ = false;        ///< The current incarnation is draining or deregistered.
+  mono_ms last_received_at_ = 0;    ///< When the latest heartbeat or health check arrived.
+  bool has_left_ = false;           ///< The current incarnation is draining or deregistered.
+  bool needs_confirmation_ = false; ///< Heartbeats wait for a health check.
+  bool is_probed_only_ = false;     ///< The server is known from a health check only.
+  std::optional<server_heartbeat> unconfirmed_; ///< The heartbeat that waits for a health check.
+  mono_ms unconfirmed_at_ = 0;                  ///< When it arrived.
   std::map<std::string, unix_ms>
     deregistrations_; ///< Wall-clock times of deregistrations, by instance id.
 };
--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -140,7 +140,9 @@
     send(encode_crash_records(records, read_clocks().mono));
   }
 
-  crash_registry received; ///< From the records that arrived.
+  crash_registry received;          ///< From the records that arrived.
+  server_status server;             ///< Of the proxy under test, by its latest beacon.
+  std::uint64_t config_version = 0; ///< The same.
 
 private:
   void send(const std::vector<std::string>& datagrams)
@@ -167,7 +169,18 @@
             return {};
           },
           [] { BOOST_ERROR("odd crash records"); });
+        continue;
       }
+      boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(content, parse_beacons(bytes));
+          for (const node_beacon& beacon : content.beacons) {
+            server = beacon.server;
+            config_version = beacon.config_version;
+          }
+          return {};
+        },
+        [] { BOOST_ERROR("odd beacons"); });
     }
   }
 
@@ -176,8 +189,103 @@
   QUdpSocket socket_;
 };
 
+/** The backend server beside the proxy, which answers health checks and sends announcements. */
+class fake_announcer
+{
+public:
+  bool is_healthy = true; ///< What it answers to health checks.
+  std::string instance;   ///< Its instance id.
+
+  fake_announcer()
+  {
+    port_.listen(QHostAddress("127.0.0.1"));
+    QObject::connect(&port_, &QTcpServer::newConnection, &port_, [this] {
+      QTcpSocket* socket = port_.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        socket->readAll();
+        const std::string response =
+          std::string("HTTP/1.1 ") + (is_healthy ? "200 OK" : "503 Service Unavailable") +
+          "\r\nX-Shallotfield-Instance-Id: " + instance + "\r\nContent-Length: 0\r\n\r\n";
+        socket->write(response.data(), static_cast<qint64>(response.size()));
+      });
+    });
+  }
+
+  endpoint address() const { return { "127.0.0.1", port_.serverPort() }; }
+
+  /** Sends a heartbeat or a deregistration of any instance to the proxy. */
+  void announce(const endpoint& to,
+                const std::string& id,
+                const std::string& call,
+                const json& body)
+  {
+    const std::string text = body.dump();
+    const std::string request = "POST /v1/instances/" + id + "/" + call +
+                                " HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n" +
+                                "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
+                                text;
+    auto* socket = new QTcpSocket(&port_); // Deleted with its parent.
+    socket->connectToHost(QString::fromStdString(to.host), to.port);
+    socket->write(request.data(), static_cast<qint64>(request.size()));
+  }
+
+  /** Returns the body of a heartbeat. */
+  json heartbeat(std::int64_t started_at, int sequence) const
+  {
+    return { { "service", "shop" },
+             { "address", "127.0.0.1:" + std::to_string(port_.serverPort()) },
+             { "zone", "z" },
+             { "version", "v1" },
+             { "slots", 4 },
+             { "state", "ready" },
+             { "cold_remaining_s", 0 },
+             { "seq", sequence },
+             { "born", started_at } };
+  }
+
+private:
+  QTcpServer port_;
+};
+
 BOOST_FIXTURE_TEST_SUITE(proxy_nodes, node_fixture)
 
+// Guards against a server that deregistered at the former process of the proxy and is in use again
+// through a late heartbeat, while its successor has to get work at once.
+BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_brings_no_server_back)
+{
+  const json config = { { "version", 7 },
+                        { "limits",
+                          { { "max_header_bytes", 9000 },
+                            { "max_body_bytes", 1000 },
+                            { "header_timeout_s", 5 },
+                            { "idle_timeout_s", 60 } } },
+                        { "listeners", json::array() },
+                        { "clusters",
+                          { { { "name", "shop" }, { "health_check_path", "/healthz" } } } } };
+  json item = raw_item("config", config.dump());
+  item["offset"] = 0;
+  store.operator_page = json{ { "items", { item } }, { "has_more", false }, { "end", 1 } }.dump();
+  fake_announcer server;
+  server.instance = "i-1";
+  server.is_healthy = false;
+  options.server_address = server.address();
+  options.is_first_start = false;
+  start();
+  fake_peer peer("127.0.0.2", static_cast<std::uint16_t>(options.peers_port + 1));
+  peer.send_beacon(1);
+  BOOST_TEST(run_until([&] { return peer.config_version == 7; }));
+  server.announce(options.announcements_address, "i-1", "heartbeat", server.heartbeat(1000, 9));
+  run_for(1500);
+  BOOST_TEST((peer.server.state == server_state::none));
+  server.instance = "i-2";
+  server.is_healthy = true;
+  server.announce(options.announcements_address, "i-2", "heartbeat", server.heartbeat(5000, 1));
+  const mono_ms announced_at = read_clocks().mono;
+  BOOST_TEST(run_until([&] { return peer.server.state == server_state::ready; }));
+  BOOST_TEST(peer.server.instance == "i-2");
+  BOOST_TEST(read_clocks().mono - announced_at < 1000);
+}
+
 // Guards against a proxy that was restarted, or missed the news, and sends a request on that has
 // crashed servers.
 BOOST_AUTO_TEST_CASE(proxies_that_missed_crashes_learn_of_them)
--- a/tests/process/peer_test.cpp
+++ b/tests/process/peer_test.cpp
@@ -137,6 +137,85 @@
   BOOST_TEST((server.current_status().state == server_state::ready));
 }
 
+// Guards against a server that had deregistered before this process was restarted, and of which a
+// late heartbeat arrives then.
+BOOST_AUTO_TEST_CASE(first_heartbeat_after_a_restart_waits_for_a_health_check)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.require_confirmation();
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("i", 100, 33), 0) == heartbeat_effect::unconfirmed));
+  BOOST_TEST(server.current_status().instance.empty());
+  // The health check says that the server leaves. Another late heartbeat changes nothing.
+  server.reject_unconfirmed();
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("i", 100, 34), 10) == heartbeat_effect::unconfirmed));
+  // The next incarnation takes work as soon as its health check succeeds.
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("j", 900, 1), 20) == heartbeat_effect::unconfirmed));
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("i", 100, 35), 21) == heartbeat_effect::unconfirmed));
+  BOOST_TEST(server.apply_probe_result("j", "shop", 6, 25));
+  BOOST_TEST((server.current_status().state == server_state::ready));
+  BOOST_TEST(server.current_status().slots == 4U);
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("i", 100, 36), 30) == heartbeat_effect::ignored));
+  // No check is needed for one that starts later.
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("k", 1500, 1), 40) == heartbeat_effect::changed));
+  BOOST_TEST((server.current_status().state == server_state::ready));
+}
+
+BOOST_AUTO_TEST_CASE(health_check_of_another_instance_confirms_no_heartbeat)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.require_confirmation();
+  server.apply_heartbeat(make_heartbeat("i", 100, 33), 0);
+  server.apply_probe_result("j", "shop", 6, 10);
+  BOOST_TEST(server.current_status().instance == "j");
+  // What is known from a health check only gives way to its own heartbeat only.
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("i", 100, 34), 20) == heartbeat_effect::unconfirmed));
+  BOOST_TEST(
+    (server.apply_heartbeat(make_heartbeat("j", 900, 1), 30) == heartbeat_effect::changed));
+  BOOST_TEST(server.current_status().instance == "j");
+}
+
+BOOST_AUTO_TEST_CASE(draining_after_a_restart_needs_no_health_check)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.require_confirmation();
+  server.apply_heartbeat(make_heartbeat("i", 100, 33, server_state::draining), 0);
+  BOOST_TEST((server.current_status().state == server_state::draining));
+  server.apply_heartbeat(make_heartbeat("i", 100, 34), 10);
+  BOOST_TEST((server.current_status().state == server_state::draining));
+}
+
+BOOST_AUTO_TEST_CASE(deregistration_during_the_health_check_holds)
+{
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.require_confirmation();
+  server.apply_heartbeat(make_heartbeat("i", 100, 33), 0);
+  server.apply_deregistration("i", 500, 100);
+  server.apply_probe_result("i", "shop", 6, 10);
+  server.apply_heartbeat(make_heartbeat("i", 100, 34), 20);
+  BOOST_TEST((server.current_status().state == server_state::draining));
+}
+
+BOOST_AUTO_TEST_CASE(deregistration_holds_although_the_clock_was_put_back)
+{
+  // The clock of this VM says 50, while the server started at 100 and the next one at 200.
+  server_watch server({ "10.0.0.9", 80 }, 6000);
+  server.apply_deregistration("i", 50, 100);
+  server.apply_heartbeat(make_heartbeat("i", 100, 34), 20);
+  BOOST_TEST((server.current_status().state == server_state::draining));
+  server.apply_heartbeat(make_heartbeat("i", 200, 1), 30);
+  BOOST_TEST((server.current_status().state == server_state::ready));
+  // The deregistration of the former incarnation may arrive late, too.
+  BOOST_TEST(!server.apply_deregistration("i", 50, 100));
+  BOOST_TEST((server.current_status().state == server_state::ready));
+}
+
 BOOST_AUTO_TEST_CASE(silent_or_unreachable_server_is_down_until_its_next_heartbeat)
 {
   server_watch server({ "10.0.0.9", 80 }, 6000);
