Ignore beacons of a former process at a proxy that was restarted

What callers would see: a server that has left, or none for a live one.

Cause: a proxy tells a former process of a peer from the present one by the ids that it has seen replaced. A restarted proxy has seen none. If a relay that was cut off then forwarded a beacon of the former process, that one replaced the present process, whose own beacons were ignored as former ones until its next restart.

Change: ids of processes begin with the time of their start, and a process that is alive is replaced only by one with a higher id. After a jump of its clock a node may start with a lower id, which counts once the former process is taken as down.

Test: peer_liveness, late_beacon_of_a_former_process_is_ignored_by_a_restarted_proxy; by the code it fails before (apply_beacon() accepted any id that it had not seen replaced); that run was not made.

--- a/src/process/beacon_type.h
+++ b/src/process/beacon_type.h
@@ -22,7 +22,8 @@
 struct node_beacon
 {
   node_id id;                             ///< Node that the beacon describes.
-  std::uint64_t boot_id = 0;              ///< Random identifier of the node's process; 0: unknown.
+  std::uint64_t boot_id = 0;              ///< Identifier of the node's process, higher for later
+                                          ///< processes; 0: unknown.
   std::uint64_t sequence = 0;             ///< Increases with each beacon of the same process.
   std::string region;                     ///< Region of the node.
   std::string zone;                       ///< Availability zone of the node.
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -64,6 +64,11 @@
   if (is_same_process && beacon.sequence <= peer.beacon.sequence) {
     return beacon_effect::stale;
   }
+  // A relay that was cut off may still forward beacons of a former process. A live process is only
+  // replaced by a later one.
+  if (!is_same_process && peer.is_alive && beacon.boot_id < peer.beacon.boot_id) {
+    return beacon_effect::stale;
+  }
   if (!is_same_process && peer.beacon.boot_id != 0) {
     peer.former_boot_ids.push_back(peer.beacon.boot_id);
     if (peer.former_boot_ids.size() > FORMER_BOOT_IDS_MAX) {
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -45,14 +45,15 @@
  * still reach the callers. */
 static constexpr mono_ms FINAL_RESPONSE_FLUSH_MS = 200;
 
-/** Returns a random identifier of this process that differs from those of the node's former
- * processes; never 0. */
+/** Returns an identifier of this process that differs from those of the node's former processes and
+ * is higher than theirs, unless the clock has jumped; never 0. */
 static std::uint64_t
 generate_boot_id()
 {
+  static constexpr unsigned RANDOM_BITS = 16;
   std::random_device device;
-  std::uniform_int_distribution<std::uint64_t> draw(1, UINT64_MAX);
-  return draw(device);
+  std::uniform_int_distribution<std::uint64_t> draw(1, (1U << RANDOM_BITS) - 1);
+  return (static_cast<std::uint64_t>(read_clocks().unix) << RANDOM_BITS) | draw(device);
 }
 
 /** Returns this node's beacon with the fields that the settings determine. */
--- a/tests/process/peer_test.cpp
+++ b/tests/process/peer_test.cpp
@@ -49,6 +49,19 @@
   BOOST_TEST(peers.peers().at("a").beacon.boot_id == 2U);
 }
 
+// Guards against a peer's former process, and the server that it announced, coming back to a proxy
+// that was restarted itself and hears of them from a relay that was cut off.
+BOOST_AUTO_TEST_CASE(late_beacon_of_a_former_process_is_ignored_by_a_restarted_proxy)
+{
+  peer_table peers("self", "z");
+  peers.apply_beacon(make_beacon("a", 2, 1), 0);
+  BOOST_TEST((peers.apply_beacon(make_beacon("a", 1, 90), 1) == beacon_effect::stale));
+  BOOST_TEST((peers.apply_beacon(make_beacon("a", 2, 2), 2) == beacon_effect::refreshed));
+  // After a jump of its clock a node starts with a lower id, which counts once the other is gone.
+  BOOST_TEST(peers.expire(60'000));
+  BOOST_TEST((peers.apply_beacon(make_beacon("a", 1, 1), 60'000) == beacon_effect::changed));
+}
+
 BOOST_AUTO_TEST_CASE(silent_peer_is_down_until_its_next_beacon)
 {
   peer_table peers("self", "z");
