Take no request that a planned stop would cut off

What callers saw: orders that came 3.0 to 3.1 s after SIGTERM were taken and passed on, ran, and got 504 when the grace period ended.

Cause: whether a request may be taken was decided from the first tick of the control thread after 3 s on, which is up to 100 ms late. In the same way the process ended up to a tick after the last look at the number of open requests, and one that arrived between the two would have been cut without an answer (by the code, not seen).

Change: the traffic thread knows both times from the SIGTERM on and compares them with the time of each request; it refuses those that could outlast the stop from 2.8 s on, since the signal may be read late. Before the process ends, the traffic thread stops to take requests if none is open, and says so.

Tests: proxy_traffics (request_that_would_outlast_a_planned_stop_is_refused_in_time, no_request_is_taken_once_the_process_may_end), exchange_decisions.

--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -92,7 +92,7 @@
   added.state.table = table_;
   caller& owner = callers_.at(id);
   owner.exchanges[number] = new_exchange_id;
-  if (proxy_.shutdown_at) {
+  if (is_draining_) {
     owner.stream->close_when_idle();
   }
   update_load_counters();
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -35,6 +35,11 @@
  * checks of the platform have failed, after which it sends no new requests. */
 static constexpr mono_ms DRAIN_DELAY_MS = 3000;
 
+/** Time from the start of the shutdown from which on requests that could outlast it are refused. It
+ * is before the readiness checks have failed for certain, since the platform may have sent the
+ * signal a moment before this process read it. */
+static constexpr mono_ms REFUSAL_DELAY_MS = 2800;
+
 /** Minimum duration of the shutdown, in which requests that arrive late are still answered. */
 static constexpr mono_ms SHUTDOWN_MIN_MS = 3200;
 
@@ -428,9 +433,16 @@
     return;
   }
   leaving_since_ = now;
+  traffic_.plan_shutdown(now + REFUSAL_DELAY_MS, shutdown_at());
   write_log(log_event::draining, { { "state", "begun" }, { "open", traffic_.open_requests() } });
 }
 
+mono_ms
+proxy_node::shutdown_at() const
+{
+  return leaving_since_ + bounds_.grace_ms - SHUTDOWN_MARGIN_MS - FINAL_RESPONSE_FLUSH_MS;
+}
+
 void
 proxy_node::advance_shutdown(mono_ms now)
 {
@@ -442,17 +454,20 @@
   }
   if (since >= DRAIN_DELAY_MS && !is_draining_) {
     is_draining_ = true;
-    traffic_.start_draining(leaving_since_ + bounds_.grace_ms - SHUTDOWN_MARGIN_MS -
-                            FINAL_RESPONSE_FLUSH_MS);
+    traffic_.start_draining(shutdown_at());
   }
-  if (since >= bounds_.grace_ms - SHUTDOWN_MARGIN_MS - FINAL_RESPONSE_FLUSH_MS &&
-      !are_requests_expired_) {
+  if (now >= shutdown_at() && !are_requests_expired_) {
     are_requests_expired_ = true;
     traffic_.expire_requests();
   }
   const std::size_t open = traffic_.open_requests();
   const bool is_over = since >= bounds_.grace_ms - SHUTDOWN_MARGIN_MS;
-  if ((since >= SHUTDOWN_MIN_MS && open == 0) || is_over) {
+  if (since >= SHUTDOWN_MIN_MS && open == 0 && !traffic_.is_finished()) {
+    // The process ends at the next tick, unless a request arrives before the traffic thread stops
+    // to take any.
+    traffic_.finish_if_idle();
+  }
+  if (traffic_.is_finished() || is_over) {
     tick_timer_.stop();
     write_log(log_event::stopped, { { "node", options_.node_id }, { "cut", open } });
     on_stopped();
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -77,6 +77,8 @@
   /** Handles the beacon of a peer. Returns whether it changed what is known of the peer. */
   bool handle_beacon(const node_beacon& beacon);
   void publish_peers();
+  /** Returns when requests that are still open are ended in a shutdown. */
+  mono_ms shutdown_at() const;
   /** Performs the steps of the shutdown that are due. */
   void advance_shutdown(mono_ms now);
   bool is_ready() const;
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -59,7 +59,7 @@
       return id;
     }
   }
-  if (proxy_.shutdown_at && request.deadline > *proxy_.shutdown_at) {
+  if (outlasts_shutdown(proxy_, request.deadline, now)) {
     fail_server_request(id, failure_reason::draining, outcome::not_run, 0);
     return id;
   }
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -202,6 +202,29 @@
   });
 }
 
+void
+proxy_traffic::plan_shutdown(mono_ms refuses_from, mono_ms shutdown_at)
+{
+  post([this, refuses_from, shutdown_at] {
+    proxy_.shutdown = planned_shutdown{ refuses_from, shutdown_at };
+  });
+}
+
+void
+proxy_traffic::finish_if_idle()
+{
+  post([this] {
+    update_load_counters();
+    const bool has_pending = std::any_of(sessions_.begin(), sessions_.end(), [](const auto& item) {
+      return !item.second.pending_calls.empty();
+    });
+    if (open_requests_ == 0 && !has_pending) {
+      proxy_.shutdown = planned_shutdown{};
+      is_finished_ = true;
+    }
+  });
+}
+
 void
 proxy_traffic::start_draining(mono_ms shutdown_at)
 {
@@ -213,7 +236,8 @@
 void
 proxy_traffic::drain(mono_ms shutdown_at)
 {
-  proxy_.shutdown_at = shutdown_at;
+  is_draining_ = true;
+  proxy_.shutdown = planned_shutdown{ read_clocks().mono, shutdown_at };
   // Closing a connection may remove its entry from callers_, so the connections are copied first.
   std::vector<caller_stream_ptr> streams;
   streams.reserve(callers_.size());
@@ -266,8 +290,8 @@
 void
 proxy_traffic::update_load_counters()
 {
-  open_requests_ = exchanges_.size() + server_requests_.size() +
-                   (proxy_.shutdown_at ? count_unsent_responses() : 0);
+  open_requests_ =
+    exchanges_.size() + server_requests_.size() + (is_draining_ ? count_unsent_responses() : 0);
   const load_report report = current_load();
   bulk_wait_ms_ = report.bulk_wait_ms;
   running_ = report.running;
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -92,11 +92,21 @@
   /** Replaces the requests that were at work when servers crashed. */
   void set_suspects(crash_view_ptr suspects);
 
-  /** Starts to close callers' connections, each as soon as its requests are answered. New requests,
-   * of callers and to the local server, are refused if their deadline is after `shutdown_at`, the
-   * time at which open requests will be ended. */
+  /** Refuses new requests, of callers and to the local server, from `refuses_from` on if their
+   * deadline is after `shutdown_at`, the time at which open requests will be ended. */
+  void plan_shutdown(mono_ms refuses_from, mono_ms shutdown_at);
+
+  /** Starts to close callers' connections, each as soon as its requests are answered. From now on,
+   * requests are refused as after plan_shutdown(). */
   void start_draining(mono_ms shutdown_at);
 
+  /** Stops to take requests if none is open; see is_finished(). */
+  void finish_if_idle();
+
+  /** Returns whether no request is open and none is taken any more, so that the process may end
+   * without cutting one off. */
+  bool is_finished() const { return is_finished_.load(); }
+
   /** Ends all open requests of callers as if their deadline had passed, shortly before the process
    * ends. This also releases complete responses that are queued behind an open request on the same
    * connection. */
@@ -295,6 +305,7 @@
     server_requests_;                                ///< Open requests to the local server.
   std::shared_ptr<response_memory> response_memory_; ///< Limits the responses that are arriving.
   bulk_pacer bulk_pacer_;                 ///< Decides when responses to downloads are sent.
+  bool is_draining_ = false;              ///< Callers' connections are being closed.
   bool is_bulk_scheduled_ = false;        ///< A call of send_due_bulk() is scheduled.
   slot_queue slots_;                      ///< Decides which of them occupy the slots of the server.
   server_status server_;                  ///< Status of the local server.
@@ -310,6 +321,7 @@
   // Written by the traffic thread, read by the control thread.
   std::atomic<std::uint64_t> lines_dropped_{ 0 };         ///< Dropped log lines.
   std::atomic<std::uint64_t> failure_lines_dropped_{ 0 }; ///< Dropped lines about failed requests.
+  std::atomic<bool> is_finished_{ false };                ///< No further request is taken.
   std::atomic<std::size_t> open_requests_{ 0 };           ///< Open requests of callers and proxies.
   std::atomic<std::uint32_t> running_{ 0 };               ///< Requests on slots of the server.
   std::atomic<std::uint32_t> waiting_{ 0 };               ///< Requests that wait for a slot.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -131,8 +131,7 @@
   const std::int64_t wait =
     std::min(exchange_.rule->timeout_ms, exchange_.wait_ms.value_or(exchange_.rule->timeout_ms));
   exchange_.deadline = now_ + wait;
-  // The shutdown would end the request before its deadline.
-  if (proxy_.shutdown_at && exchange_.deadline > *proxy_.shutdown_at) {
+  if (outlasts_shutdown(proxy_, exchange_.deadline, now_)) {
     refuse(STATUS_UNAVAILABLE, failure_reason::draining, RETRY_AFTER_DEFAULT_MS);
     return;
   }
@@ -500,6 +499,13 @@
 
 } // namespace
 
+bool
+outlasts_shutdown(const proxy_state& proxy, mono_ms deadline, mono_ms now)
+{
+  return proxy.shutdown && now >= proxy.shutdown->refuses_from &&
+         deadline > proxy.shutdown->ends_at;
+}
+
 void
 set_peer_view(proxy_state& proxy, peer_view_ptr view)
 {
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -141,6 +141,13 @@
   std::optional<request_digests> digests;
 };
 
+/** The times of a planned shutdown of a proxy. */
+struct planned_shutdown
+{
+  mono_ms refuses_from = 0; ///< From when on requests that would outlast the shutdown are refused.
+  mono_ms ends_at = 0;      ///< When the requests that are still open are ended.
+};
+
 /** State that the requests of one proxy share. */
 struct proxy_state
 {
@@ -160,12 +167,15 @@
   retry_limits limits; ///< Retry budget of the fleet.
   /** The requests that were at work when servers crashed. */
   crash_view_ptr suspects = std::make_shared<const crash_view>();
-  /** Time at which the requests that are still open are ended, shortly before the process ends. Set
-   * once a shutdown closes callers' connections. */
-  std::optional<mono_ms> shutdown_at;
-  random_source random; ///< Random number generator of the thread.
+  std::optional<planned_shutdown> shutdown; ///< Set once the process is told to end.
+  random_source random;                     ///< Random number generator of the thread.
 };
 
+/** Returns whether a request that arrives now would be cut off by a planned shutdown if it took
+ * until its deadline. */
+bool
+outlasts_shutdown(const proxy_state& proxy, mono_ms deadline, mono_ms now);
+
 /** Replaces the view of the live nodes, which includes this one. */
 void
 set_peer_view(proxy_state& proxy, peer_view_ptr view);
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -199,6 +199,53 @@
   }
 }
 
+// Guards against requests that arrive late in the grace period, are passed on, and are cut off when
+// the process ends.
+BOOST_AUTO_TEST_CASE(request_that_would_outlast_a_planned_stop_is_refused_in_time)
+{
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    to->send(response_to(head, "hello"));
+  };
+  const mono_ms now = read_clocks().mono;
+  traffic->plan_shutdown(now + 300, now + 1500);
+  const auto caller = call();
+  caller->send("r1", "/x", 2000);
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("r1"); }));
+  BOOST_TEST(record.statuses["r1"] == 200U);
+  run_for(std::chrono::milliseconds(std::max<mono_ms>(now + 301 - read_clocks().mono, 1)));
+  caller->send("r2", "/x", 2000);
+  caller->send("r3", "/x", 500);
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("r3"); }));
+  BOOST_TEST(record.statuses["r2"] == 503U);
+  BOOST_TEST(record.statuses["r3"] == 200U);
+  BOOST_TEST(server.requests == 2);
+}
+
+// Guards against a request that is passed on in the moment at which the process ends.
+BOOST_AUTO_TEST_CASE(no_request_is_taken_once_the_process_may_end)
+{
+  scripted_connection_ptr waiting;
+  std::string waiting_head;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    waiting = to;
+    waiting_head = head;
+  };
+  const auto caller = call();
+  caller->send("r1", "/x", 2000);
+  BOOST_TEST(run_until(context, [&] { return waiting != nullptr; }));
+  traffic->finish_if_idle();
+  run_for(100ms);
+  BOOST_TEST(!traffic->is_finished());
+  waiting->send(response_to(waiting_head, "hello"));
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("r1"); }));
+  traffic->finish_if_idle();
+  BOOST_TEST(run_until(context, [this] { return traffic->is_finished(); }));
+  caller->send("r2", "/x", 10);
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("r2"); }));
+  BOOST_TEST(record.statuses["r2"] == 503U);
+  BOOST_TEST(server.requests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(stop_waits_for_a_caller_that_reads_slowly)
 {
   const std::string body(3U << 20U, 'x');
--- a/tests/request/exchange_test.cpp
+++ b/tests/request/exchange_test.cpp
@@ -193,9 +193,12 @@
 
 BOOST_AUTO_TEST_CASE(proxy_refuses_requests_that_would_outlast_its_shutdown)
 {
-  proxy.shutdown_at = 500;
+  proxy.shutdown = { 0, 500 };
   BOOST_TEST(start("/read/1") == "503:draining+ ");
-  proxy.shutdown_at = 900;
+  proxy.shutdown = { 0, 900 };
+  BOOST_TEST(start("/read/1") == ">b ");
+  // Requests that arrive before that time are still likely to end in time.
+  proxy.shutdown = { 1, 500 };
   BOOST_TEST(start("/read/1") == ">b ");
 }
 
