Keep no connection on which a server answered without naming the request

What callers saw: an order was told that it had not run while a server ran it (REFUSED), or ran at a second server as well (TWICE).

Cause: refusals of servers bear no request id. A second copy of one, late, on a connection that was kept was taken for the response to the next request.

Change: a connection is reused only after a response that names its request. Later copies then arrive on a closed connection, and a copy that names another request is discarded as before.

Test: proxy_traffics, second_copy_of_a_refusal_refuses_no_other_request: 10 checks failed before, none after.

--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -183,7 +183,10 @@
   const platform::response_verdict verdict =
     platform::classify_response(response.head, request.request_id);
   const server_stream_ptr stream = std::move(request.stream);
-  if (is_reusable && verdict != platform::response_verdict::invalid) {
+  // A server may send a second copy of a response. One that names no request, such as a refusal,
+  // could be taken for the response to the next request on the connection.
+  const bool has_name = platform::names_request(response.head, request.request_id);
+  if (is_reusable && has_name && verdict != platform::response_verdict::invalid) {
     release_server_stream(stream);
   } else {
     stream->abort();
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -70,6 +70,8 @@
     document.version = 1;
     document.rules.push_back(
       { "read", "h", "/", request_kind::idempotent, 1000, 1, 2000, 2, { { "shop", 1 } } });
+    document.rules.push_back(
+      { "order", "h", "/order/", request_kind::at_most_once, 1000, 1, 2000, 1, { { "shop", 1 } } });
     document.services.push_back({ "shop", "" });
     traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
     traffic->set_peers(std::make_shared<peer_view>(peer_view{ { "a", self } }));
@@ -264,6 +266,38 @@
   BOOST_TEST(record.cut.empty());
 }
 
+// Guards against a second copy of a refusal, which names no request, being taken for the response
+// to the next request on the connection, which a server runs.
+BOOST_AUTO_TEST_CASE(second_copy_of_a_refusal_refuses_no_other_request)
+{
+  static const std::string REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n"
+                                     "X-Shallotfield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  std::set<const scripted_connection*> owes_copy;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    const bool is_first = header_of(head, "X-Shallotfield-Request-Id").starts_with("shed");
+    if (owes_copy.erase(to.get()) > 0) {
+      to->send(REFUSAL);
+    }
+    if (is_first) {
+      owes_copy.insert(to.get());
+      to->send(REFUSAL);
+      return;
+    }
+    to->send_later(response_to(head, "hello"), 20ms);
+  };
+  const auto caller = call();
+  for (int i = 0; i < 10; ++i) {
+    const std::string shed = "shed" + std::to_string(i);
+    const std::string next = "next" + std::to_string(i);
+    caller->send(shed, "/order/x");
+    BOOST_TEST(run_until(context, [&] { return record.statuses.contains(shed); }));
+    caller->send(next, "/order/x");
+    BOOST_TEST(run_until(context, [&] { return record.statuses.contains(next); }));
+    BOOST_TEST(record.statuses[shed] == 503U);
+    BOOST_TEST(record.statuses[next] == 200U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(responses_without_end_are_answered_in_time_and_bounded_in_memory)
 {
   static constexpr std::size_t CALLERS = 100;
