Show that a health check answered without end is bounded

The health check after a restart of a proxy is a further call to a server, so it gets a test of its own: an endless head, an endless body and an endless status line, each taken up to a bounded number of bytes, after which the next incarnation is checked and takes work.

The test of the late heartbeat now has a peer that is alive when the change is announced.

--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -34,6 +34,24 @@
            { "offset", 1 } };
 }
 
+/** Returns a page of the operator's topic with a configuration whose servers have health checks. */
+static std::string
+operator_page_with_shop()
+{
+  const json config = { { "version", 7 },
+                        { "limits",
+                          { { "max_header_bytes", 9000 },
+                            { "max_body_bytes", 1000 },
+                            { "header_timeout_s", 5 },
+                            { "idle_timeout_s", 60 } } },
+                        { "listeners", json::array() },
+                        { "clusters",
+                          { { { "name", "shop" }, { "health_check_path", "/healthz" } } } } };
+  json item = raw_item("config", config.dump());
+  item["offset"] = 0;
+  return json{ { "items", { item } }, { "has_more", false }, { "end", 1 } }.dump();
+}
+
 /** A proxy whose ports are free ones, and its store. */
 struct node_fixture
 {
@@ -193,8 +211,10 @@
 class fake_announcer
 {
 public:
-  bool is_healthy = true; ///< What it answers to health checks.
-  std::string instance;   ///< Its instance id.
+  bool is_healthy = true;    ///< What it answers to health checks.
+  std::string instance;      ///< Its instance id.
+  std::string endless_start; ///< If set, it answers with this and then bytes without end.
+  qint64 endless_bytes = 0;  ///< Bytes that the proxy has taken of such answers.
 
   fake_announcer()
   {
@@ -203,6 +223,14 @@
       QTcpSocket* socket = port_.nextPendingConnection();
       QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
         socket->readAll();
+        if (!endless_start.empty()) {
+          QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this, socket](qint64 count) {
+            endless_bytes += count;
+            socket->write(QByteArray(65536, 'y'));
+          });
+          socket->write(endless_start.data(), static_cast<qint64>(endless_start.size()));
+          return;
+        }
         const std::string response =
           std::string("HTTP/1.1 ") + (is_healthy ? "200 OK" : "503 Service Unavailable") +
           "\r\nX-Shallotfield-Instance-Id: " + instance + "\r\nContent-Length: 0\r\n\r\n";
@@ -249,22 +277,40 @@
 
 BOOST_FIXTURE_TEST_SUITE(proxy_nodes, node_fixture)
 
+// Guards against a server that answers a health check with bytes without end, which must neither
+// fill the memory nor keep its successor from being checked.
+BOOST_AUTO_TEST_CASE(health_check_that_is_answered_without_end_is_bounded)
+{
+  static constexpr qint64 BYTES_MAX = 32 << 20; // Most of it waits in buffers of the kernel.
+  store.operator_page = operator_page_with_shop();
+  fake_announcer server;
+  server.instance = "i-1";
+  options.server_address = server.address();
+  options.is_first_start = false;
+  start();
+  fake_peer peer("127.0.0.2", static_cast<std::uint16_t>(options.peers_port + 1));
+  peer.send_beacon(1);
+  BOOST_TEST(run_until([&] { return peer.config_version == 7; }));
+  for (const char* answer : { "HTTP/1.1 200 OK\r\nX-Long: ", "HTTP/1.1 503 Odd\r\n\r\n", "yyy" }) {
+    server.endless_start = answer;
+    server.endless_bytes = 0;
+    server.announce(options.announcements_address, "i-1", "heartbeat", server.heartbeat(1000, 9));
+    BOOST_TEST(run_until([&] { return server.endless_bytes > 0; }));
+    run_for(1200);
+    BOOST_TEST(server.endless_bytes < BYTES_MAX);
+    BOOST_TEST((peer.server.state == server_state::none));
+  }
+  server.endless_start.clear();
+  server.instance = "i-2";
+  server.announce(options.announcements_address, "i-2", "heartbeat", server.heartbeat(5000, 1));
+  BOOST_TEST(run_until([&] { return peer.server.instance == "i-2"; }));
+}
+
 // Guards against a server that deregistered at the former process of the proxy and is in use again
 // through a late heartbeat, while its successor has to get work at once.
 BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_brings_no_server_back)
 {
-  const json config = { { "version", 7 },
-                        { "limits",
-                          { { "max_header_bytes", 9000 },
-                            { "max_body_bytes", 1000 },
-                            { "header_timeout_s", 5 },
-                            { "idle_timeout_s", 60 } } },
-                        { "listeners", json::array() },
-                        { "clusters",
-                          { { { "name", "shop" }, { "health_check_path", "/healthz" } } } } };
-  json item = raw_item("config", config.dump());
-  item["offset"] = 0;
-  store.operator_page = json{ { "items", { item } }, { "has_more", false }, { "end", 1 } }.dump();
+  store.operator_page = operator_page_with_shop();
   fake_announcer server;
   server.instance = "i-1";
   server.is_healthy = false;
@@ -279,6 +325,9 @@
   BOOST_TEST((peer.server.state == server_state::none));
   server.instance = "i-2";
   server.is_healthy = true;
+  // Changes are sent at once only to peers that are alive.
+  peer.send_beacon(1);
+  run_for(50);
   server.announce(options.announcements_address, "i-2", "heartbeat", server.heartbeat(5000, 1));
   const mono_ms announced_at = read_clocks().mono;
   BOOST_TEST(run_until([&] { return peer.server.state == server_state::ready; }));
