Apply changed limits to callers' connections that are open

What callers saw: after all proxies were killed and started again, orders of 1.5 MB got 413 on kept connections, though the configuration allows 64 MiB.

Cause: a connection kept the limits that were in force when it was accepted, 1 MiB before the first configuration is known.

Change: a new configuration sets its limits on all open connections; a request that is arriving is only affected by a higher one. Until the first configuration is known a request may use an eighth of the memory.

Tests: http_messages (limits_change_on_an_open_connection), proxy_traffics (new_limit_holds_on_connections_that_are_open).

--- a/src/connection/caller_stream_base.h
+++ b/src/connection/caller_stream_base.h
@@ -47,6 +47,12 @@
    */
   void respond(request_number number, const response_head& head, std::string_view body);
 
+  /** Replaces the limits; see request_reader::set_limits(). */
+  void set_limits(caller_stream_limits limits)
+  {
+    reader_.set_limits(limits.body_bytes_max, limits.head_bytes_max);
+  }
+
   /** Accepts no further requests, and closes the connection when all open ones are answered. */
   void close_when_idle();
 
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -204,6 +204,20 @@
   parser_->parser.header_limit(head_bytes_max_);
 }
 
+void
+request_reader::set_limits(std::uint64_t body_bytes_max, std::uint32_t head_bytes_max)
+{
+  const bool is_partial = has_partial_request();
+  if (!is_partial || body_bytes_max > body_bytes_max_) {
+    parser_->parser.body_limit(body_bytes_max);
+  }
+  if (!is_partial || head_bytes_max > head_bytes_max_) {
+    parser_->parser.header_limit(head_bytes_max);
+  }
+  body_bytes_max_ = body_bytes_max;
+  head_bytes_max_ = head_bytes_max;
+}
+
 bool
 request_reader::has_partial_request() const
 {
--- a/src/connection/http_codec.h
+++ b/src/connection/http_codec.h
@@ -40,6 +40,10 @@
   /** Returns whether part of the next request was received. */
   bool has_partial_request() const;
 
+  /** Replaces the limits. For a request that was received partially, only a higher limit takes
+   * effect. */
+  void set_limits(std::uint64_t body_bytes_max, std::uint32_t head_bytes_max);
+
 private:
   struct parser_state;
   /** Prepares for the next request. */
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -6,15 +6,31 @@
 
 namespace shallotfield {
 
+/** Part of the memory of the process that one request may use until the first configuration sets a
+ * limit, as a divisor. */
+static constexpr std::size_t REQUEST_MEMORY_DIVISOR = 8;
+
+caller_stream_limits
+proxy_traffic::limits_of_requests() const
+{
+  caller_limits limits;
+  if (table_) {
+    limits = table_->limits();
+  } else {
+    // A request that the first configuration will allow must not be refused as too large before.
+    limits.body_bytes_max =
+      std::max(limits.body_bytes_max,
+               static_cast<std::int64_t>(options_.memory_bytes / REQUEST_MEMORY_DIVISOR));
+  }
+  return { static_cast<std::uint32_t>(limits.head_bytes_max),
+           static_cast<std::uint64_t>(limits.body_bytes_max) };
+}
+
 void
 proxy_traffic::add_caller(boost::asio::ip::tcp::socket&& socket)
 {
   const caller_id id = next_id_++;
-  const caller_limits limits = table_ ? table_->limits() : caller_limits{};
-  const caller_stream_ptr stream = std::make_shared<caller_stream>(
-    context_,
-    caller_stream_limits{ static_cast<std::uint32_t>(limits.head_bytes_max),
-                          static_cast<std::uint64_t>(limits.body_bytes_max) });
+  const caller_stream_ptr stream = std::make_shared<caller_stream>(context_, limits_of_requests());
   callers_[id].stream = stream;
   stream->on_request = [this, id](request_number number, http_request&& request) {
     handle_request(id, number, std::move(request));
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -145,7 +145,12 @@
 void
 proxy_traffic::set_route_table(route_table_ptr table)
 {
-  post([this, table = std::move(table)] { table_ = table; });
+  post([this, table = std::move(table)] {
+    table_ = table;
+    for (const auto& [id, item] : callers_) {
+      item.stream->set_limits(limits_of_requests());
+    }
+  });
 }
 
 void
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -217,6 +217,8 @@
   void watch_unsent_responses();
 
   // proxy_callers.cpp: callers' connections and the processing of their requests.
+  /** Returns the limits on requests that are in force. */
+  caller_stream_limits limits_of_requests() const;
   void add_caller(boost::asio::ip::tcp::socket&& socket);
   /** Restarts the timeout of a connection that is idle or on which a request is arriving. */
   void reset_caller_timeout(caller_id id);
--- a/tests/connection/http_test.cpp
+++ b/tests/connection/http_test.cpp
@@ -123,6 +123,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(limits_change_on_an_open_connection)
+{
+  const auto request = [](std::size_t bytes) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+  };
+  std::optional<http_fault> fault;
+  request_reader reader(10);
+  BOOST_TEST(reader.feed(request(10), fault).has_value());
+  reader.set_limits(100, 4096);
+  BOOST_TEST(reader.feed(request(100), fault).has_value());
+  // A lower limit holds from the next request on.
+  const std::string whole = request(100);
+  BOOST_TEST(!reader.feed(whole.substr(0, 80), fault).has_value());
+  reader.set_limits(10, 4096);
+  BOOST_TEST(reader.feed(whole.substr(80), fault).has_value());
+  BOOST_TEST(!fault.has_value());
+  BOOST_TEST(!reader.feed(request(100), fault).has_value());
+  BOOST_TEST((fault == http_fault::body_too_large));
+}
+
 BOOST_AUTO_TEST_CASE(response_end_is_found_by_length_chunks_or_close)
 {
   struct row
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -405,6 +405,31 @@
   BOOST_TEST(server.requests == 0);
 }
 
+// Guards against connections that were accepted before a configuration and keep its lower limit.
+BOOST_AUTO_TEST_CASE(new_limit_holds_on_connections_that_are_open)
+{
+  static constexpr std::size_t BODY_BYTES = 1'500'000; // Above the limit without a configuration.
+  boost::asio::ip::tcp::socket caller(context);
+  caller.connect({ boost::asio::ip::make_address("127.0.0.1"), options.callers_address.port });
+  run_for(50ms);
+  route_document document;
+  document.version = 2;
+  document.limits.body_bytes_max = 4 << 20;
+  document.services.push_back({ "shop", "" });
+  traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
+  run_for(50ms);
+  boost::asio::write(caller,
+                     boost::asio::buffer("POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                                         std::to_string(BODY_BYTES) + "\r\n\r\n" +
+                                         std::string(BODY_BYTES, 'x')));
+  std::array<char, 1024> buffer{};
+  std::string reply;
+  caller.async_read_some(boost::asio::buffer(buffer),
+                         [&](auto, std::size_t count) { reply.assign(buffer.data(), count); });
+  BOOST_TEST(run_until(context, [&] { return !reply.empty(); }));
+  BOOST_TEST(reply.starts_with("HTTP/1.1 404")); // No route matches, and it was not too large.
+}
+
 BOOST_AUTO_TEST_CASE(calls_that_ended_during_a_pause_are_not_started)
 {
   // Another proxy sent two calls while this one was paused. It cancelled one of them, and then the
