--- a/src/process/crash_registry.h
+++ b/src/process/crash_registry.h
@@ -3,12 +3,12 @@
 #pragma once
 #include "clock_type.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace shallotfield {
@@ -18,7 +18,11 @@
 {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
-  auto operator<=>(const request_digest&) const = default;
+  bool operator==(const request_digest&) const = default;
+  bool operator<(const request_digest& other) const
+  {
+    return std::tie(high, low) < std::tie(other.high, other.low);
+  }
 };
 
 /** Returns a digest as hexadecimal digits, as log lines show it. */
