Play a fleet in which a request crashes servers, news gets lost and proxies restart

Guards the rule about such requests against other figures and orders of events: six servers that also crash for other reasons, one by one and all at once, a popular request at work on all of them, one datagram in four lost, proxies restarted without memory, 50 seeds of a minute each. Checked: at most 3 arrivals later than 3 s after the third crash, and no rejection of the popular request.

--- a/tests/request/crash_test.cpp
+++ b/tests/request/crash_test.cpp
@@ -245,4 +245,197 @@
   BOOST_TEST(rejection(odd) > 0);
 }
 
+/** A fleet in simulated time: servers with the proxies beside them, whose news arrive late or get
+ * lost, a request that crashes servers, a popular one, and servers that crash for other reasons. */
+class simulated_fleet
+{
+public:
+  static constexpr std::size_t NODES = 6;
+
+  explicit simulated_fleet(std::uint64_t seed)
+    : random_(seed)
+  {
+    for (std::size_t i = 0; i < NODES; ++i) {
+      nodes_.push_back({ crash_detector(random_source(seed * NODES + i)), {}, 0 });
+    }
+  }
+
+  /** Plays one minute. */
+  void play()
+  {
+    for (now_ = 1000; now_ < 61'000; now_ += 10) {
+      deliver_news();
+      for (std::size_t i = 0; i < NODES; ++i) {
+        if (nodes_[i].up_at == now_) {
+          raise(i, server_started{ true });
+        }
+      }
+      // Each server completes the popular request about 20 times a second.
+      for (std::size_t i = 0; i < NODES; ++i) {
+        if (is_up(i) && draw(5) == 0) {
+          popular_rejected += rejection(draw(NODES), popular_) > 0 ? 1 : 0;
+          raise(i, request_survived{ popular_ });
+        }
+      }
+      if (now_ % 1000 == 0) {
+        remind();
+      }
+      if (now_ % 2500 == 0) {
+        send_odd_request(draw(NODES));
+      }
+      if (draw(150) == 0) { // A server crashes for another reason.
+        crash(draw(NODES), { popular_ });
+      }
+      if (draw(2000) == 0) { // All servers crash at once.
+        for (std::size_t i = 0; i < NODES; ++i) {
+          crash(i, { popular_ });
+        }
+      }
+      if (draw(500) == 0) { // A proxy is restarted.
+        node& restarted = nodes_[draw(NODES)];
+        restarted.detector = crash_detector(random_);
+        restarted.registry = {};
+      }
+    }
+  }
+
+  int odd_crashes = 0;      ///< Crashes by the odd request.
+  int late_arrivals = 0;    ///< Arrivals of it at servers, 3 s after its third crash and later.
+  int popular_rejected = 0; ///< Rejections of the popular request.
+
+private:
+  struct node
+  {
+    crash_detector detector;
+    crash_registry registry;
+    mono_ms up_at = 0; ///< When its server runs again.
+  };
+
+  struct news
+  {
+    std::size_t to = 0;
+    crash_record record;
+    mono_ms arrives_at = 0;
+  };
+
+  std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+  bool is_up(std::size_t i) const { return nodes_[i].up_at <= now_; }
+
+  std::int64_t rejection(std::size_t i, const request_identity& request) const
+  {
+    return rejection_ms(*nodes_[i].registry.build_view(), digest_request(request), now_);
+  }
+
+  /** Sends a record to all nodes, three times; one datagram in four gets lost. */
+  void announce(const crash_record& record)
+  {
+    for (std::size_t to = 0; to < NODES; ++to) {
+      for (int copy = 0; copy < 3; ++copy) {
+        if (draw(4) != 0) {
+          news_.push_back({ to, record, now_ + 100 * copy + static_cast<mono_ms>(draw(20)) });
+        }
+      }
+    }
+  }
+
+  void remind()
+  {
+    for (node& from : nodes_) {
+      for (int i = 0; i < 2; ++i) {
+        const std::size_t to = draw(NODES);
+        for (const crash_record& record : from.registry.shared_records()) {
+          news_.push_back({ to, record, now_ + 10 });
+        }
+      }
+    }
+  }
+
+  void deliver_news()
+  {
+    const std::vector<news> all = std::exchange(news_, {});
+    for (const news& item : all) {
+      if (item.arrives_at <= now_) {
+        nodes_[item.to].registry.add(item.record, now_);
+      } else {
+        news_.push_back(item);
+      }
+    }
+  }
+
+  void raise(std::size_t i, const crash_event& event)
+  {
+    node& at = nodes_[i];
+    for (const crash_effect& effect : at.detector.handle(event, *at.registry.build_view(), now_)) {
+      std::visit(overloaded{
+                   [](const probe_server_port&) {},
+                   [&](const report_crash& item) {
+                     for (const request_digest& digest : item.requests) {
+                       const crash_record record{ digest, item.crash, now_, false };
+                       at.registry.add(record, now_);
+                       announce(record);
+                     }
+                   },
+                   [&](const acquit_request& item) {
+                     for (const crash_record& record : at.registry.acquit(item.request)) {
+                       announce(record);
+                     }
+                   },
+                 },
+                 effect);
+    }
+  }
+
+  void crash(std::size_t i, const std::vector<request_identity>& at_work)
+  {
+    if (!is_up(i)) {
+      return;
+    }
+    nodes_[i].up_at = now_ + 500 + 10 * static_cast<mono_ms>(draw(400));
+    for (const request_identity& request : at_work) {
+      raise(i, request_lost{ request });
+    }
+    raise(i, server_port_closed{});
+  }
+
+  /** A caller sends the odd request, which its proxy retries once. */
+  void send_odd_request(std::size_t caller)
+  {
+    for (std::size_t attempt = 0; attempt < 2; ++attempt) {
+      const std::size_t server = draw(NODES);
+      const crash_view_ptr view = nodes_[caller].registry.build_view();
+      const bool may_send = rejection(caller, odd_) == 0 &&
+                            (attempt == 0 || may_retry_suspect(*view, digest_request(odd_)));
+      if (!may_send || !is_up(server) || rejection(server, odd_) > 0) {
+        return;
+      }
+      late_arrivals += odd_crashes >= 3 && now_ > third_crash_at_ + 3000 ? 1 : 0;
+      if (++odd_crashes == 3) {
+        third_crash_at_ = now_;
+      }
+      crash(server, { odd_, popular_ });
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::vector<node> nodes_;
+  std::vector<news> news_;
+  mono_ms now_ = 0;
+  mono_ms third_crash_at_ = 0;
+  request_identity odd_{ "GET", "/read/odd", "", "shop" };
+  request_identity popular_{ "GET", "/read/popular", "", "shop" };
+};
+
+// Guards against a request that crashes servers and is not found, or another one that is taken for
+// it, when proxies restart, news gets lost and servers crash for other reasons.
+BOOST_AUTO_TEST_CASE(fleet_finds_the_request_that_crashes_servers_and_no_other)
+{
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    simulated_fleet fleet(seed);
+    fleet.play();
+    BOOST_TEST(fleet.odd_crashes >= 3, "seed " << seed);
+    BOOST_TEST(fleet.late_arrivals <= 3, "seed " << seed << ": " << fleet.late_arrivals);
+    BOOST_TEST(fleet.popular_rejected == 0, "seed " << seed << ": " << fleet.popular_rejected);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
