Decide anew which requests crash servers, with trials as the way out

A harmless long request that was at work when all servers crashed for another reason was rejected for 10 minutes: 0 of 120 answered in the calm.

Causes, all of one class: what counted as proof was too weak or too strong, and nothing was asked again. - A crash had to show within 3 s of a lost connection, by a closed port or a new process. - Any complete response counted as proof of harmlessness, also a 500. - The host was no part of what identifies a request, nor was the service. - Crashes could only add up; a rejected request had no way to show that it is harmless.

Crashes also show by announcements that cease; requests at work at a former process end when the next one announces itself. If the request is suspected already, its loss counts at once and is withdrawn when the server is seen running, so that a proxy that is killed meanwhile forgets less. - Only a status below 500 acquits. A completion before a crash clears the request of that crash only. - Two digests: method, host, target and body; and these with caller and service. - A rejected request is tried at one server of the fleet, chosen by rendezvous hashing, so that all proxies that see the same servers agree without asking each other. A trial in which most servers of the service came back together with this one is not held against the request (trial_review), at most six times. - Retry-After is the time until the next trial. Each step has a line (suspect_found, suspect_sent, suspect_tried, suspect_cleared) and a counter.

The tests use new types and don't build on the code before.

--- a/src/connection/crash_report_codec.cpp
+++ b/src/connection/crash_report_codec.cpp
@@ -11,7 +11,11 @@
 /** Version of the format of crash records. It differs from the versions of beacons, which come
  * first in a datagram as well, so that builds which don't know crash records reject the datagram.
  */
-static constexpr std::uint64_t CRASH_FORMAT_VERSION = 101;
+static constexpr std::uint64_t CRASH_FORMAT_VERSION = 102;
+
+/** The version before, which is still read. It has a flag in place of the finding, which says
+ * whether the request is acquitted. */
+static constexpr std::uint64_t CRASH_FORMAT_VERSION_1 = 101;
 
 /** Position of the format version in a datagram, after the header of the msgpack array. */
 static constexpr std::size_t FORMAT_OFFSET = 3;
@@ -28,6 +32,18 @@
 /** Number of elements of a record. */
 static constexpr std::size_t RECORD_FIELDS = 5;
 
+/** Returns the elements of a record in a message. */
+static json
+write_crash_record(const crash_record& record, mono_ms now)
+{
+  const auto age = static_cast<std::uint64_t>(std::max<mono_ms>(now - record.happened_at, 0));
+  return json::array({ record.request.high,
+                       record.request.low,
+                       record.id,
+                       age,
+                       static_cast<std::uint64_t>(record.finding) });
+}
+
 std::vector<std::string>
 encode_crash_records(const std::vector<crash_record>& records, mono_ms now)
 {
@@ -40,12 +56,7 @@
                        static_cast<char>(length) };
     json::to_msgpack(CRASH_FORMAT_VERSION, bytes);
     for (std::size_t i = start; i < end; ++i) {
-      const crash_record& record = records[i];
-      const auto age = static_cast<std::uint64_t>(std::max<mono_ms>(now - record.happened_at, 0));
-      json::to_msgpack(
-        json::array(
-          { record.request.high, record.request.low, record.crash, age, record.is_acquitted }),
-        bytes);
+      json::to_msgpack(write_crash_record(records[i], now), bytes);
     }
     datagrams.push_back(std::move(bytes));
   }
@@ -56,27 +67,42 @@
 has_crash_records(std::string_view datagram)
 {
   return datagram.size() > FORMAT_OFFSET && datagram.front() == MSGPACK_ARRAY_16 &&
-         datagram[FORMAT_OFFSET] == static_cast<char>(CRASH_FORMAT_VERSION);
+         (datagram[FORMAT_OFFSET] == static_cast<char>(CRASH_FORMAT_VERSION) ||
+          datagram[FORMAT_OFFSET] == static_cast<char>(CRASH_FORMAT_VERSION_1));
+}
+
+/** Decodes the finding of a record. Returns no value if it is invalid. */
+static std::optional<crash_finding>
+read_finding(const json& item, std::uint64_t format)
+{
+  if (format == CRASH_FORMAT_VERSION_1) {
+    return item.is_boolean()
+             ? std::optional(item.get<bool>() ? crash_finding::acquitted : crash_finding::suspected)
+             : std::nullopt;
+  }
+  if (!item.is_number_unsigned() || item.get<std::uint64_t>() >= CRASH_FINDING_ROWS.size()) {
+    return std::nullopt;
+  }
+  return CRASH_FINDING_ROWS.at(item.get<std::size_t>()).value;
 }
 
 /** Decodes one record. Returns no value if it is invalid. */
 static std::optional<crash_record>
-read_crash_record(const json& item, mono_ms now)
+read_crash_record(const json& item, std::uint64_t format, mono_ms now)
 {
   if (!item.is_array() || item.size() != RECORD_FIELDS || !item[0].is_number_unsigned() ||
       !item[1].is_number_unsigned() || !item[2].is_number_unsigned() ||
-      !item[3].is_number_unsigned() || !item[4].is_boolean()) {
+      !item[3].is_number_unsigned()) {
     return std::nullopt;
   }
+  const std::optional<crash_finding> finding = read_finding(item[4], format);
   const auto age = item[3].get<std::uint64_t>();
-  const auto crash = item[2].get<std::uint64_t>();
-  if (crash == 0 || age > std::numeric_limits<std::uint32_t>::max()) {
-    return std::nullopt;
-  }
-  return crash_record{ { item[0].get<std::uint64_t>(), item[1].get<std::uint64_t>() },
-                       crash,
-                       now - static_cast<mono_ms>(age),
-                       item[4].get<bool>() };
+  const crash_record record{ { item[0].get<std::uint64_t>(), item[1].get<std::uint64_t>() },
+                             item[2].get<std::uint64_t>(),
+                             now - static_cast<mono_ms>(std::min<std::uint64_t>(age, UINT32_MAX)),
+                             finding.value_or(crash_finding::suspected) };
+  const bool is_valid = finding && record.id != 0 && age <= UINT32_MAX;
+  return is_valid ? std::optional(record) : std::nullopt;
 }
 
 leaf::result<crash_report>
@@ -90,15 +116,15 @@
   if (error) {
     return leaf::new_error(*error);
   }
-  const bool is_known_format = items.is_array() && !items.empty() &&
-                               items[0].is_number_unsigned() &&
-                               items[0].get<std::uint64_t>() == CRASH_FORMAT_VERSION;
-  if (!is_known_format) {
+  const std::uint64_t format = items.is_array() && !items.empty() && items[0].is_number_unsigned()
+                                 ? items[0].get<std::uint64_t>()
+                                 : 0;
+  if (format != CRASH_FORMAT_VERSION && format != CRASH_FORMAT_VERSION_1) {
     return leaf::new_error(frame_error{ frame_fault::wrong_protocol });
   }
   crash_report result;
   for (std::size_t i = 1; i < items.size(); ++i) {
-    if (const std::optional<crash_record> record = read_crash_record(items[i], now)) {
+    if (const auto record = read_crash_record(items[i], format, now)) {
       result.records.push_back(*record);
     } else {
       ++result.rejected_records;
--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -48,9 +48,15 @@
   lines_dropped,    ///< Log lines were dropped by a rate limit.
   server_crashed,   ///< The local backend server crashed while it ran requests.
   suspect_rejected, ///< A request that servers have crashed on is rejected from now on.
+  suspect_found,    ///< A request was at work when the local backend server crashed.
+  suspect_sent,     ///< A request that servers may have crashed on is sent to the local server.
+  suspect_tried,    ///< A request that is rejected is on trial at the local server.
+  suspect_cleared,  ///< A server completed a request that is suspected of crashing servers.
+  suspect_stored,   ///< A rejected request was stored in the platform's store, or removed from it.
+  suspect_restored, ///< Rejected requests were read from the platform's store.
 };
 
-inline constexpr enum_table<log_event, 37> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 43> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -88,8 +94,14 @@
   { log_event::lines_dropped, "lines_dropped" },
   { log_event::server_crashed, "server_crashed" },
   { log_event::suspect_rejected, "suspect_rejected" },
+  { log_event::suspect_found, "suspect_found" },
+  { log_event::suspect_sent, "suspect_sent" },
+  { log_event::suspect_tried, "suspect_tried" },
+  { log_event::suspect_cleared, "suspect_cleared" },
+  { log_event::suspect_stored, "suspect_stored" },
+  { log_event::suspect_restored, "suspect_restored" },
 } };
-static_assert(is_complete(LOG_EVENT_ROWS, log_event::suspect_rejected));
+static_assert(is_complete(LOG_EVENT_ROWS, log_event::suspect_restored));
 
 /** Returns the name table of log events. */
 constexpr const auto&
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -30,9 +30,13 @@
   unexpected_errors,  ///< Exceptions that ended the handling of an event.
   server_crashes,     ///< Crashes of the local backend server while it ran requests.
   suspects_rejected,  ///< Requests rejected because servers have crashed on them.
+  suspects_found,     ///< Digests of requests at work at crashes of the local backend server.
+  suspects_tried,     ///< Trials of rejected requests at the local backend server.
+  suspects_cleared,   ///< Suspected digests of which the local backend server completed a request.
+  suspects_stored,    ///< Calls to the platform's store about rejected requests.
 };
 
-inline constexpr enum_table<counter_id, 23> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 27> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -56,8 +60,12 @@
   { counter_id::unexpected_errors, "unexpected_errors" },
   { counter_id::server_crashes, "server_crashes" },
   { counter_id::suspects_rejected, "suspects_rejected" },
+  { counter_id::suspects_found, "suspects_found" },
+  { counter_id::suspects_tried, "suspects_tried" },
+  { counter_id::suspects_cleared, "suspects_cleared" },
+  { counter_id::suspects_stored, "suspects_stored" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::suspects_rejected));
+static_assert(is_complete(COUNTER_ROWS, counter_id::suspects_stored));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -169,6 +169,10 @@
 proxy_node::publish_server_status()
 {
   traffic_.set_server(server_.current_status(), server_.incarnation());
+  if (server_.incarnation() != published_incarnation_) {
+    published_incarnation_ = server_.incarnation();
+    review_trial(server_replaced{ self_.id, true }, read_clocks().mono);
+  }
   publish_peers();
   schedule_urgent_beacon(self_.id);
 }
--- a/src/process/proxy_crash_news.cpp
+++ b/src/process/proxy_crash_news.cpp
@@ -21,29 +21,125 @@
 /** Number of records in a reminder, which fit into one datagram. */
 static constexpr std::size_t REMINDER_RECORDS_MAX = 24;
 
+/** Number of lines about requests that were at work at one crash. */
+static constexpr std::size_t SUSPECT_LINES_MAX = 16;
+
 void
 proxy_node::record_crash(const report_crash& report)
 {
   const mono_ms now = read_clocks().mono;
-  count(counter_id::server_crashes);
+  if (report.proof != crash_proof::lost_suspect) {
+    count(counter_id::server_crashes);
+  }
+  count(counter_id::suspects_found, report.requests.size());
   write_log(log_event::server_crashed,
             { { "instance", server_.current_status().instance },
               { "crash", report.crash },
-              { "suspects", report.requests.size() } });
+              { "proof", enum_name(report.proof) },
+              { "suspects", report.requests.size() },
+              { "cleared", report.cleared } });
+  std::vector<crash_record> news;
+  for (const crash_record& record : make_crash_records(report)) {
+    if (crashes_.add(record, now)) {
+      news.push_back(record);
+    }
+  }
+  std::vector<crash_record> on_trial;
+  std::copy_if(news.begin(), news.end(), std::back_inserter(on_trial), [](const auto& record) {
+    return record.finding == crash_finding::suspected_on_trial;
+  });
+  if (!on_trial.empty()) {
+    review_trial(trial_crashed{ on_trial }, now);
+  }
+  announce_crash_news(news);
+  const std::size_t lines = std::min(report.requests.size(), SUSPECT_LINES_MAX);
+  for (std::size_t i = 0; i < lines; ++i) {
+    const crash_suspicion& item = report.requests[i];
+    const auto known = suspects_->find(item.request);
+    write_log(log_event::suspect_found,
+              { { "digest", format_digest(item.request) },
+                { "crash", report.crash },
+                { "crashes", known == suspects_->end() ? 0 : known->second.crashes },
+                { "at_work_ms", item.at_work_ms },
+                { "trial", item.is_on_trial ? "yes" : "no" } });
+  }
+}
+
+void
+proxy_node::withdraw(const withdraw_crash& withdrawal)
+{
+  const crash_record record = make_withdrawal_record(withdrawal);
+  // A request of which no crash is known needs no withdrawal.
+  if (crashes_.records_of(record.request).empty() || !crashes_.add(record, read_clocks().mono)) {
+    return;
+  }
+  write_log(log_event::suspect_cleared,
+            { { "digest", format_digest(record.request) },
+              { "crash", record.id },
+              { "reason", "server_runs" } });
+  announce_crash_news({ record });
+}
+
+void
+proxy_node::review_trial(const review_event& event, mono_ms now)
+{
   std::vector<crash_record> news;
-  for (const request_digest& request : report.requests) {
-    const crash_record record{ request, report.crash, now, false };
+  for (const crash_record& record : trial_review_.handle(event, now)) {
     if (crashes_.add(record, now)) {
       news.push_back(record);
+      write_log(log_event::suspect_tried,
+                { { "digest", format_digest(record.request) },
+                  { "crash", record.id },
+                  { "state", "many_servers_crashed" } });
     }
   }
   announce_crash_news(news);
 }
 
+std::size_t
+proxy_node::count_other_servers() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(peers_.peers().begin(), peers_.peers().end(), [this](const auto& item) {
+      const server_status& server = item.second.beacon.server;
+      return item.second.is_alive && server.service == options_.service && !server.instance.empty();
+    }));
+}
+
+void
+proxy_node::record_trial(const report_trial& report)
+{
+  if (!report.has_ended) {
+    count(counter_id::suspects_tried);
+  }
+  write_log(log_event::suspect_tried,
+            { { "digest", format_digest(report.request) },
+              { "trial", report.trial },
+              { "state", report.has_ended ? "ended" : "begun" } });
+  const mono_ms now = read_clocks().mono;
+  const crash_record record = make_trial_record(report);
+  if (crashes_.add(record, now)) {
+    announce_crash_news({ record });
+  }
+}
+
 void
 proxy_node::record_acquittal(const request_digest& request)
 {
-  announce_crash_news(crashes_.acquit(request));
+  const auto known = suspects_->find(request);
+  if (known == suspects_->end()) {
+    return;
+  }
+  const std::size_t crashes = known->second.crashes;
+  const std::vector<crash_record> changed = crashes_.acquit(request);
+  if (changed.empty()) {
+    return;
+  }
+  count(counter_id::suspects_cleared);
+  write_log(
+    log_event::suspect_cleared,
+    { { "digest", format_digest(request) }, { "crashes", crashes }, { "reason", "completed" } });
+  announce_crash_news(changed);
 }
 
 void
@@ -69,7 +165,9 @@
       before != suspects_->end() && before->second.crashes >= REJECTED_FROM_CRASHES;
     if (suspect.crashes >= REJECTED_FROM_CRASHES && !was_rejected) {
       write_log(log_event::suspect_rejected,
-                { { "digest", format_digest(request) }, { "crashes", suspect.crashes } });
+                { { "digest", format_digest(request) },
+                  { "crashes", suspect.crashes },
+                  { "trials", suspect.crashed_trials } });
     }
   }
   suspects_ = view;
@@ -155,34 +253,34 @@
   send_crash_records(crashes_.shared_records(), targets);
 }
 
-void
+bool
 proxy_node::receive_crash_records(std::string_view datagram, const QHostAddress& sender)
 {
   const mono_ms now = read_clocks().mono;
+  const std::string host = sender.toString().toStdString();
+  bool has_changed = false;
   leaf::try_handle_all(
     [&]() -> leaf::result<void> {
       BOOST_LEAF_AUTO(report, parse_crash_records(datagram, now));
       report_rejected_records("crash_records", report.rejected_records);
-      bool has_changed = false;
       std::vector<crash_record> corrections;
       for (const crash_record& record : report.records) {
         // The sender has missed that the request was acquitted.
-        if (!record.is_acquitted && crashes_.is_acquitted(record.request, record.crash)) {
+        if (record.finding != crash_finding::acquitted &&
+            crashes_.is_acquitted(record.request, record.id)) {
           corrections.push_back(record);
-          corrections.back().is_acquitted = true;
+          corrections.back().finding = crash_finding::acquitted;
         }
         has_changed = crashes_.add(record, now) || has_changed;
       }
-      if (has_changed) {
-        publish_suspects();
-      }
-      send_datagrams(encode_crash_records(corrections, now), sender.toString().toStdString());
+      send_datagrams(encode_crash_records(corrections, now), host);
       return {};
     },
     [&](const frame_error& error) {
       refused_inputs_.report("crash_records", { { "fault", enum_name(error.fault) } }, now);
     },
     [&] { count(counter_id::inputs_refused); });
+  return has_changed;
 }
 
 } // namespace shallotfield
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -110,6 +110,14 @@
     QMetaObject::invokeMethod(
       &context_, [this, report] { record_crash(report); }, Qt::QueuedConnection);
   };
+  traffic_.on_crash_withdrawn = [this](const withdraw_crash& withdrawal) {
+    QMetaObject::invokeMethod(
+      &context_, [this, withdrawal] { withdraw(withdrawal); }, Qt::QueuedConnection);
+  };
+  traffic_.on_suspect_tried = [this](const report_trial& report) {
+    QMetaObject::invokeMethod(
+      &context_, [this, report] { record_trial(report); }, Qt::QueuedConnection);
+  };
   traffic_.on_request_acquitted = [this](const request_digest& request) {
     QMetaObject::invokeMethod(
       &context_, [this, request] { record_acquittal(request); }, Qt::QueuedConnection);
@@ -166,6 +174,7 @@
   const mono_ms now = read_clocks().mono;
   detect_pause(now);
   if (server_.expire(now)) {
+    traffic_.report_server_silent();
     publish_server_status();
   }
   if (peers_.expire(now)) {
@@ -180,6 +189,7 @@
   }
   send_crash_news();
   remind_of_crashes(now);
+  review_trial(review_tick{ count_other_servers() }, now);
   log_dropped_lines(now);
   advance_discovery();
   probe_server();
@@ -268,11 +278,14 @@
   std::vector<beacon_batch> plan = plan_urgent_beacons(peers_, self_, urgent_nodes_);
   if (!new_peers_.empty()) {
     plan.push_back({ { new_peers_.begin(), new_peers_.end() }, { self_.id } });
+  }
+  send(plan);
+  if (!new_peers_.empty()) {
+    // After the beacon, since a peer accepts crash records only from nodes that it knows.
     tell_new_peers_of_crashes();
   }
   urgent_nodes_.clear();
   new_peers_.clear();
-  send(plan);
   if (is_peer_view_stale_) {
     publish_peers();
   }
@@ -321,16 +334,21 @@
 proxy_node::receive_datagrams()
 {
   bool has_changed = false;
+  bool have_suspects_changed = false;
   while (beacon_socket_.hasPendingDatagrams()) {
     const QNetworkDatagram datagram = beacon_socket_.receiveDatagram(BEACON_DATAGRAM_BYTES_MAX + 1);
     const QByteArray data = datagram.data();
     const std::string_view bytes(data.data(), static_cast<std::size_t>(data.size()));
     if (has_crash_records(bytes)) {
-      receive_crash_records(bytes, datagram.senderAddress());
+      have_suspects_changed =
+        receive_crash_records(bytes, datagram.senderAddress()) || have_suspects_changed;
     } else {
       has_changed = receive_beacons(bytes) || has_changed;
     }
   }
+  if (have_suspects_changed) {
+    publish_suspects();
+  }
   // Most beacons only repeat what is known. The next tick covers what depends on the time.
   if (has_changed) {
     raise_follow_event(reevaluation_due{});
@@ -384,6 +402,12 @@
   const bool is_urgent = has_server_changed || is_first_with_version ||
                          before.is_store_reachable != beacon.is_store_reachable;
   is_peer_view_stale_ = is_peer_view_stale_ || has_server_changed;
+  const bool is_replaced = !before.server.instance.empty() &&
+                           before.server.instance != beacon.server.instance &&
+                           before.server.state != server_state::draining;
+  if (is_replaced && beacon.server.service == options_.service) {
+    review_trial(server_replaced{ beacon.id, false }, read_clocks().mono);
+  }
   if (is_urgent) {
     schedule_urgent_beacon(beacon.id);
   }
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -86,6 +86,10 @@
   // proxy_crash_news.cpp: requests that were at work when servers crashed.
   /** Records that the local server crashed. */
   void record_crash(const report_crash& report);
+  /** Records that a lost request was not at work at a crash. */
+  void withdraw(const withdraw_crash& withdrawal);
+  /** Records that a rejected request is on trial at the local server. */
+  void record_trial(const report_trial& report);
   /** Records that the local server completed a request that crashes speak against. */
   void record_acquittal(const request_digest& request);
   /** Sends records to all peers, and passes the changed suspects on to the traffic thread. */
@@ -95,8 +99,13 @@
   void send_crash_records(const std::vector<crash_record>& records,
                           const std::vector<node_id>& targets);
   void remind_of_crashes(mono_ms now);
+  /** Raises an event of trial_review and announces the records that it changes. */
+  void review_trial(const review_event& event, mono_ms now);
+  /** Returns the number of peers whose server provides the service of the local one. */
+  std::size_t count_other_servers() const;
   void tell_new_peers_of_crashes();
-  void receive_crash_records(std::string_view datagram, const QHostAddress& sender);
+  /** Handles the crash records of a peer. Returns whether they changed what is known. */
+  bool receive_crash_records(std::string_view datagram, const QHostAddress& sender);
 
   // proxy_directory.cpp: discovery of peers through the store.
   /** Registers this node in the directory or reads the directory, whichever is due. */
@@ -176,8 +185,10 @@
   int broadcasts_remaining_ = 0;       ///< Remaining broadcasts that announce a new version.
   crash_registry crashes_;             ///< Crashes of all servers.
   crash_view_ptr suspects_ =
-    std::make_shared<const crash_view>();    ///< As the traffic thread has it.
-  std::vector<crash_news> crash_news_;       ///< Records that are being sent to all peers.
+    std::make_shared<const crash_view>();   ///< As the traffic thread has it.
+  std::vector<crash_news> crash_news_;      ///< Records that are being sent to all peers.
+  trial_review trial_review_;               ///< Reviews crashes of the local server at trials.
+  std::uint64_t published_incarnation_ = 0; ///< Process of the local server as last published.
   random_source crash_reminder_random_;      ///< Chooses the peers to remind.
   mono_ms next_crash_reminder_at_ = 0;       ///< When peers are next reminded.
   mono_ms next_dropped_lines_report_at_ = 0; ///< When dropped log lines are next reported.
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -23,6 +23,8 @@
 /** Interval at which the slot queue refuses waiting requests that can no longer start in time. */
 static constexpr std::int64_t QUEUE_CHECK_INTERVAL_MS = 50;
 
+static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
+
 slot_ticket
 proxy_traffic::add_server_request(const request_origin& origin, call_open&& call)
 {
@@ -50,14 +52,9 @@
     return id;
   }
   // The proxy of the caller may not know yet that servers crash on the request.
-  if (!proxy_.suspects->empty()) {
-    const std::int64_t wait =
-      rejection_ms(*proxy_.suspects, digest_request(identity_of(request)), now);
-    if (wait > 0) {
-      count(counter_id::suspects_rejected);
-      fail_server_request(id, failure_reason::crashes_servers, outcome::not_run, wait);
-      return id;
-    }
+  check_suspect(id);
+  if (!server_requests_.contains(id)) {
+    return id;
   }
   if (outlasts_shutdown(proxy_, request.deadline, now)) {
     fail_server_request(id, failure_reason::draining, outcome::not_run, 0);
@@ -152,6 +149,8 @@
   const mono_ms now = read_clocks().mono;
   request.started_at = now;
   count(counter_id::admitted);
+  log_suspect(request);
+  raise_crash_event(request_sent{ id });
   request_head head = request.call.head;
   platform::write_server_fields(head,
                                 { std::max<std::int64_t>(request.deadline - now, 1),
@@ -192,8 +191,12 @@
     stream->abort();
   }
   raise_slot_event(slot_finished{ id, verdict == platform::response_verdict::valid });
-  if (verdict == platform::response_verdict::valid) {
-    raise_crash_event(request_survived{ identity_of(request) });
+  if (verdict == platform::response_verdict::invalid) {
+    raise_crash_event(request_inconclusive{ id });
+  } else if (verdict == platform::response_verdict::valid) {
+    const bool has_succeeded = response.head.status < STATUS_INTERNAL_ERROR;
+    raise_crash_event(
+      request_survived{ identity_of(request), id, request.started_at, has_succeeded });
   }
   if (verdict == platform::response_verdict::not_run) {
     fail_server_request(id, failure_reason::shed, outcome::not_run, 0);
@@ -246,8 +249,10 @@
   raise_slot_event(slot_finished{ id, false });
   if (why == http_client_error::never_sent) {
     raise_crash_event(connection_failed{});
-  } else if (why != http_client_error::malformed) {
-    raise_crash_event(request_lost{ identity_of(found->second) });
+  } else if (why == http_client_error::malformed) {
+    raise_crash_event(request_inconclusive{ id });
+  } else {
+    raise_crash_event(request_lost{ identity_of(found->second), id, found->second.started_at });
   }
   switch (why) {
     case http_client_error::never_sent:
@@ -276,6 +281,9 @@
   if (found == server_requests_.end()) {
     return;
   }
+  if (result == outcome::not_run) {
+    raise_crash_event(request_inconclusive{ id });
+  }
   const load_report report = current_load();
   const std::int64_t residence_ms = read_clocks().mono - found->second.arrived_at;
   const request_origin origin = found->second.origin;
@@ -305,7 +313,10 @@
   }
   if (found->second.stream) {
     found->second.stream->abort();
-    raise_crash_event(request_abandoned{ identity_of(found->second) });
+    raise_crash_event(
+      request_abandoned{ identity_of(found->second), id, found->second.started_at });
+  } else {
+    raise_crash_event(request_inconclusive{ id });
   }
   end_server_request(id);
   raise_slot_event(slot_cancelled{ id });
@@ -322,7 +333,8 @@
   const bool was_sent = found->second.stream != nullptr;
   if (was_sent) {
     found->second.stream->abort();
-    raise_crash_event(request_abandoned{ identity_of(found->second) });
+    raise_crash_event(
+      request_abandoned{ identity_of(found->second), id, found->second.started_at });
   }
   fail_server_request(
     id, failure_reason::timed_out, was_sent ? outcome::unknown : outcome::not_run, 0);
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -178,7 +178,15 @@
 void
 proxy_traffic::set_suspects(crash_view_ptr suspects)
 {
-  post([this, suspects = std::move(suspects)] { proxy_.suspects = suspects; });
+  post([this, suspects = std::move(suspects)] {
+    proxy_.suspects = suspects;
+  });
+}
+
+void
+proxy_traffic::report_server_silent()
+{
+  post([this] { raise_crash_event(server_silent{}); });
 }
 
 void
@@ -194,6 +202,7 @@
         item.stream->abort();
       }
       idle_streams_.clear();
+      end_requests_of_former_server();
     }
     const bool takes_work = takes_work_in(status.state);
     if (takes_work && (is_new || !takes_work_in(server_.state))) {
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -62,9 +62,12 @@
 public:
   std::function<void()> on_server_unreachable; ///< Called on the traffic thread when no connection
                                                ///< to the local server could be opened.
-  /** Called on the traffic thread when the local server crashed, and when it completed a request
-   * that is suspected of crashing servers. */
+  /** Called on the traffic thread when the local server crashed, or may have and has not, when a
+   * request that is suspected of crashing servers is on trial, and when the server completed such a
+   * request. */
   std::function<void(const report_crash&)> on_server_crashed;
+  std::function<void(const withdraw_crash&)> on_crash_withdrawn;
+  std::function<void(const report_trial&)> on_suspect_tried;
   std::function<void(const request_digest&)> on_request_acquitted;
 
   /** Creates the traffic thread's state without starting the thread. `limits` are the limits on
@@ -89,7 +92,11 @@
    * to a former one are closed. */
   void set_server(const server_status& status, std::uint64_t incarnation);
 
-  /** Replaces the requests that were at work when servers crashed. */
+  /** Records that the local server no longer announces itself. */
+  void report_server_silent();
+
+  /** Replaces the requests that were at work when servers crashed. Those that wait for the local
+   * server and may no longer run are refused. */
   void set_suspects(crash_view_ptr suspects);
 
   /** Refuses new requests, of callers and to the local server, from `refuses_from` on if their
@@ -192,6 +199,7 @@
     mono_ms started_at = 0;                       ///< When the request was sent to the server.
     mono_ms deadline = 0;                         ///< When the response is due.
     server_stream_ptr stream;                     ///< Connection to the server; null until sent.
+    std::optional<request_digests> digests;       ///< Set once a request is suspected.
     std::optional<timer_queue::timer_id> timeout; ///< Timer that expires the request.
   };
 
@@ -267,6 +275,12 @@
   /** Finds out after a short time whether the port of the local server is closed. */
   void check_server_port();
   void connect_to_server_port();
+  /** Asks whether a request that waits for the local server may run. */
+  void check_suspect(slot_ticket id);
+  /** Logs that a request which was at work at a crash is sent to the server. */
+  void log_suspect(const server_request& request);
+  /** Ends the requests at work at a former process of the server. */
+  void end_requests_of_former_server();
   /** Returns what identifies a request to the local server; refers to the request. */
   static request_identity identity_of(const server_request& request);
 
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -68,6 +68,11 @@
   /** Chooses a server that was not tried yet and sends the request to it. Returns false if there is
    * none, or none with capacity. */
   bool try_server();
+  /** Sends a request that is rejected to the server of its next trial. Returns false if there is
+   * none. */
+  bool try_trial_server(const suspect_trial_due& trial);
+  /** Sends the request to a server. */
+  void send_to(const server_choice& choice, double expected_bytes);
   /** Returns the expected size of the request and its response together, averaged over earlier
    * requests of the rule. */
   double expected_bytes() const;
@@ -83,9 +88,10 @@
   /** Returns the digests of the request, or no value while no request is suspected of crashing
    * servers. */
   const std::optional<request_digests>& suspect_digests();
-  /** Returns how long the request is rejected because servers have crashed on it, in ms; 0: it is
-   * not. */
-  std::int64_t suspect_rejection_ms();
+  /** Decides whether the request may run although servers may have crashed on it. */
+  suspect_decision decide_on_suspect();
+  /** Returns whether the request may be sent to a further server. */
+  bool may_go_elsewhere();
   /** Marks an attempt as closed and removes it from the in-flight counts. */
   void close(exchange_attempt_index attempt);
   /** Records the network time of an attempt to another region, if its expected size in bytes counts
@@ -135,14 +141,18 @@
     refuse(STATUS_UNAVAILABLE, failure_reason::draining, RETRY_AFTER_DEFAULT_MS);
     return;
   }
-  if (const std::int64_t wait = suspect_rejection_ms(); wait > 0) {
+  exchange_.service = choose_service();
+  proxy_.retry_budgets[exchange_.service].record_request(now_);
+  const suspect_decision decision = decide_on_suspect();
+  if (const auto* rejected = std::get_if<suspect_rejected>(&decision)) {
     count(counter_id::suspects_rejected);
-    refuse(STATUS_UNAVAILABLE, failure_reason::crashes_servers, wait);
+    refuse(STATUS_UNAVAILABLE, failure_reason::crashes_servers, rejected->retry_after_ms);
     return;
   }
-  exchange_.service = choose_service();
-  proxy_.retry_budgets[exchange_.service].record_request(now_);
-  if (!try_server()) {
+  const auto* trial = std::get_if<suspect_trial_due>(&decision);
+  exchange_.is_on_trial = trial != nullptr;
+  const bool is_sent = trial != nullptr ? try_trial_server(*trial) : try_server();
+  if (!is_sent) {
     fail_request(exchange_.found_full_server ? failure_reason::queue_full
                                              : failure_reason::no_server);
   }
@@ -245,25 +255,42 @@
   if (choice == nullptr) {
     return false;
   }
+  send_to(*choice, request.expected_bytes);
+  return true;
+}
+
+bool
+exchange_handler::try_trial_server(const suspect_trial_due& trial)
+{
+  const std::optional<server_choice> choice =
+    choose_trial_server(proxy_.servers, exchange_.service, trial.request, trial.latest_trial);
+  if (choice) {
+    send_to(*choice, expected_bytes());
+  }
+  return choice.has_value();
+}
+
+void
+exchange_handler::send_to(const server_choice& choice, double expected_bytes)
+{
   const exchange_attempt_index attempt = exchange_.attempts.size();
-  const bool is_cross_region = choice->distance == server_distance::other_region;
-  exchange_.attempts.push_back({ choice->node->id,
+  const bool is_cross_region = choice.distance == server_distance::other_region;
+  exchange_.attempts.push_back({ choice.node->id,
                                  now_,
                                  true,
                                  true,
-                                 is_cross_region ? choice->node->region : std::string(),
-                                 request.expected_bytes });
+                                 is_cross_region ? choice.node->region : std::string(),
+                                 expected_bytes });
   if (is_cross_region) {
-    proxy_.congestion.record_sent(choice->node->region, request.expected_bytes, now_);
+    proxy_.congestion.record_sent(choice.node->region, expected_bytes, now_);
   }
-  proxy_.tracker.record_sent(choice->node->id);
+  proxy_.tracker.record_sent(choice.node->id);
   effects_.emplace_back(send_attempt{ attempt,
-                                      choice->node->id,
-                                      choice->node->server.instance,
+                                      choice.node->id,
+                                      choice.node->server.instance,
                                       exchange_.deadline - now_,
                                       exchange_.delivered_attempts > 0,
                                       fleet_service_ms() });
-  return true;
 }
 
 void
@@ -281,16 +308,28 @@
 exchange_handler::suspect_digests()
 {
   if (!exchange_.digests && !proxy_.suspects->empty()) {
-    exchange_.digests = digest_request(
-      { exchange_.head.method, exchange_.head.target, exchange_.body, proxy_.caller_service });
+    const std::string* host = find_header(exchange_.head.headers, "Host");
+    exchange_.digests = digest_request({ exchange_.head.method,
+                                         host == nullptr ? "" : *host,
+                                         exchange_.head.target,
+                                         exchange_.body,
+                                         proxy_.caller_service,
+                                         exchange_.service });
   }
   return exchange_.digests;
 }
 
-std::int64_t
-exchange_handler::suspect_rejection_ms()
+suspect_decision
+exchange_handler::decide_on_suspect()
+{
+  return suspect_digests() ? decide_suspect(*proxy_.suspects, *exchange_.digests, now_)
+                           : suspect_decision{};
+}
+
+bool
+exchange_handler::may_go_elsewhere()
 {
-  return suspect_digests() ? rejection_ms(*proxy_.suspects, *exchange_.digests, now_) : 0;
+  return !exchange_.is_on_trial && std::holds_alternative<suspect_may_run>(decide_on_suspect());
 }
 
 bool
@@ -299,7 +338,7 @@
   const bool is_safe = result == outcome::not_run || is_idempotent(exchange_.rule->kind);
   const bool is_suspect = result == outcome::unknown && suspect_digests() &&
                           !may_retry_suspect(*proxy_.suspects, *exchange_.digests);
-  if (is_suspect || suspect_rejection_ms() > 0) {
+  if (is_suspect || !may_go_elsewhere()) {
     return false;
   }
   const auto attempts_max = static_cast<std::size_t>(exchange_.rule->attempts_max);
@@ -377,7 +416,7 @@
     const bool may_send_elsewhere =
       exchange_.rejected_attempts < REJECTED_ATTEMPTS_MAX &&
       event.reason != failure_reason::too_late && event.reason != failure_reason::crashes_servers &&
-      suspect_rejection_ms() == 0 && exchange_.deadline - now_ > REMAINING_TIME_MIN_MS;
+      may_go_elsewhere() && exchange_.deadline - now_ > REMAINING_TIME_MIN_MS;
     if (!may_send_elsewhere || !try_server()) {
       fail_request(event.reason);
     }
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -136,6 +136,7 @@
   std::int64_t retry_after_ms = 0;        ///< Shortest retry-after time received; 0 if none.
   bool found_full_server = false;         ///< Whether a server was skipped because it is full.
   bool may_have_run = false;              ///< Whether an attempt that failed may have run.
+  bool is_on_trial = false;               ///< It was sent to the server of its trial only.
   bool is_done = false;                   ///< Whether the request is over.
   /** Digests of the request; set once some request is suspected of crashing servers. */
   std::optional<request_digests> digests;
--- a/src/request/server_choice_policy.cpp
+++ b/src/request/server_choice_policy.cpp
@@ -400,4 +400,41 @@
   return server_chooser(tracker, request, now, random).choose(*of_service);
 }
 
+/** Returns a number that depends on all bits of the given one (the finalizer of SplitMix64). */
+static std::uint64_t
+mix_bits(std::uint64_t value)
+{
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+  return value ^ (value >> 31U);
+}
+
+std::optional<server_choice>
+choose_trial_server(server_index& servers,
+                    const service_id& service,
+                    const request_digest& request,
+                    std::uint64_t latest_trial)
+{
+  const server_index::distance_lists* lists = servers.find(service);
+  if (lists == nullptr) {
+    return std::nullopt;
+  }
+  // Rendezvous hashing: a server that leaves changes the choice only if it was the one chosen.
+  std::optional<server_choice> best;
+  std::uint64_t best_rank = 0;
+  for (const enum_row<server_distance>& row : SERVER_DISTANCE_ROWS) {
+    for (const node_beacon* node : lists->at(static_cast<std::size_t>(row.value))) {
+      std::uint64_t rank = mix_bits(request.low ^ latest_trial);
+      for (const char byte : node->id) {
+        rank = mix_bits(rank ^ static_cast<unsigned char>(byte));
+      }
+      if (!best || rank > best_rank || (rank == best_rank && node->id < best->node->id)) {
+        best = server_choice{ node, row.value, 0 };
+        best_rank = rank;
+      }
+    }
+  }
+  return best;
+}
+
 } // namespace shallotfield
--- a/src/request/server_choice_policy.h
+++ b/src/request/server_choice_policy.h
@@ -160,4 +160,15 @@
               mono_ms now,
               random_source& random);
 
+/**
+ * Chooses the server for the next trial of a request that is rejected, or returns nothing if no
+ * server takes work. All proxies that see the same servers choose the same one. `latest_trial` is
+ * the id of the trial before, so that each trial is likely to have another server.
+ */
+std::optional<server_choice>
+choose_trial_server(server_index& servers,
+                    const service_id& service,
+                    const request_digest& request,
+                    std::uint64_t latest_trial);
+
 } // namespace shallotfield
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -3,8 +3,7 @@
 
 namespace shallotfield {
 
-/** Returns the host name in the value of a Host header, in lower case and without the port. */
-static std::string
+std::string
 normalise_host(std::string_view host)
 {
   std::string name(host.substr(0, host.find(':')));
--- a/src/version/route_table_type.h
+++ b/src/version/route_table_type.h
@@ -41,6 +41,10 @@
   return kind != request_kind::at_most_once;
 }
 
+/** Returns the host name in the value of a Host header, in lower case and without the port. */
+std::string
+normalise_host(std::string_view host);
+
 /** A target service of a rule, with its share of the rule's requests. */
 struct weighted_service
 {
--- a/tests/connection/proxy_codec_test.cpp
+++ b/tests/connection/proxy_codec_test.cpp
@@ -61,7 +61,8 @@
   static constexpr mono_ms NOW = 1'000'000;
   std::vector<crash_record> records;
   for (std::uint64_t i = 1; i <= 100; ++i) {
-    records.push_back({ { UINT64_MAX - i, i << 40U }, UINT64_MAX - i, NOW - 5000, i % 2 == 0 });
+    const crash_finding finding = CRASH_FINDING_ROWS.at(i % CRASH_FINDING_ROWS.size()).value;
+    records.push_back({ { UINT64_MAX - i, i << 40U }, UINT64_MAX - i, NOW - 5000, finding });
   }
   std::vector<crash_record> read;
   for (const std::string& bytes : encode_crash_records(records, NOW)) {
@@ -93,7 +94,7 @@
   BOOST_TEST(report->records.size() == 1U);
   BOOST_TEST(report->rejected_records == 5U);
   std::mt19937 random(28);
-  const std::string valid = encode_crash_records({ { { 1, 2 }, 3, 50, false } }, 100).at(0);
+  const std::string valid = encode_crash_records({ { { 1, 2 }, 3, 50 } }, 100).at(0);
   for (int i = 0; i < 20'000; ++i) {
     std::string damaged = valid.substr(0, random() % (valid.size() + 1));
     for (int changes = static_cast<int>(random() % 4); changes > 0 && !damaged.empty(); --changes) {
@@ -105,6 +106,23 @@
   BOOST_TEST(!value_of([&] { return parse_crash_records(std::string(1000, '\x91'), 1); }));
 }
 
+BOOST_AUTO_TEST_CASE(unknown_findings_are_left_out)
+{
+  using nlohmann::json;
+  const json items = { 102,
+                       { 1, 2, 3, 4, 3 },
+                       { 1, 2, 3, 4, 6 },
+                       { 1, 2, 3, 4, -1 },
+                       { 1, 2, 3, 4, true },
+                       { 1, 2, 3, 4, "suspected" } };
+  std::string bytes;
+  json::to_msgpack(items, bytes);
+  const auto report = value_of([&] { return parse_crash_records(bytes, 100); });
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report->records.size() == 1U);
+  BOOST_TEST(report->rejected_records == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(directory_entries_round_trip)
 {
   const auto read =
--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -44,7 +44,18 @@
                             { "max_body_bytes", 1000 },
                             { "header_timeout_s", 5 },
                             { "idle_timeout_s", 60 } } },
-                        { "listeners", json::array() },
+                        { "listeners",
+                          { { { "host", "h" },
+                              { "rules",
+                                { { { "name", "all" },
+                                    { "kind", "unsafe" },
+                                    { "target_latency_s", 1 },
+                                    { "priority", 0 },
+                                    { "match", { { "prefix", "/" } } },
+                                    { "action",
+                                      { { "service", "shop" },
+                                        { "timeout_s", 2 },
+                                        { "max_attempts", 1 } } } } } } } } },
                         { "clusters",
                           { { { "name", "shop" }, { "health_check_path", "/healthz" } } } } };
   json item = raw_item("config", config.dump());
@@ -222,7 +233,11 @@
     QObject::connect(&port_, &QTcpServer::newConnection, &port_, [this] {
       QTcpSocket* socket = port_.nextPendingConnection();
       QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
-        socket->readAll();
+        const std::string head = socket->readAll().toStdString();
+        if (!crashes_on.empty() && head.find(crashes_on) != std::string::npos) {
+          crash();
+          return;
+        }
         if (!endless_start.empty()) {
           QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this, socket](qint64 count) {
             endless_bytes += count;
@@ -241,6 +256,17 @@
 
   endpoint address() const { return { "127.0.0.1", port_.serverPort() }; }
 
+  /** Ends the server as a crash does: its port and all connections are closed. */
+  void crash()
+  {
+    port_.close();
+    for (QTcpSocket* socket : port_.findChildren<QTcpSocket*>()) {
+      socket->abort();
+    }
+  }
+
+  std::string crashes_on; ///< If set, the server crashes on a request whose head contains this.
+
   /** Sends a heartbeat or a deregistration of any instance to the proxy. */
   void announce(const endpoint& to,
                 const std::string& id,
@@ -347,10 +373,8 @@
   second.send_beacon(1);
   run_for(200);
   const mono_ms now = read_clocks().mono;
-  first.send_records({ { { 1, 1 }, 11, now, false },
-                       { { 1, 1 }, 12, now, false },
-                       { { 1, 1 }, 13, now, false },
-                       { { 2, 2 }, 11, now, false } });
+  first.send_records(
+    { { { 1, 1 }, 11, now }, { { 1, 1 }, 12, now }, { { 1, 1 }, 13, now }, { { 2, 2 }, 11, now } });
   BOOST_TEST(run_until([&] { return second.received.size() > 0; }));
   BOOST_TEST(second.received.build_view()->at({ 1, 1 }).crashes == 3U);
   // A restarted process hears of it as soon as it is seen, before the next reminder.
@@ -359,11 +383,12 @@
   run_for(60);
   BOOST_TEST(second.received.size() == 1U);
   // A peer that has missed an acquittal is corrected.
-  first.send_records(
-    { { { 1, 1 }, 11, now, true }, { { 1, 1 }, 12, now, true }, { { 1, 1 }, 13, now, true } });
+  first.send_records({ { { 1, 1 }, 11, now, crash_finding::acquitted },
+                       { { 1, 1 }, 12, now, crash_finding::acquitted },
+                       { { 1, 1 }, 13, now, crash_finding::acquitted } });
   run_for(100);
   second.received = {};
-  second.send_records({ { { 1, 1 }, 12, now, false } });
+  second.send_records({ { { 1, 1 }, 12, now } });
   BOOST_TEST(run_until([&] { return second.received.is_acquitted({ 1, 1 }, 12); }));
 }
 
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -364,16 +364,56 @@
   BOOST_TEST(run_until(context, [this] { return !crashes.empty(); }));
   run_for(400ms);
   const auto count_reports = [this](const std::string& target) {
-    const request_digest digest = digest_request({ "GET", target, "", "shop" }).exact;
+    const request_digest digest = digest_request({ "GET", "h", target, "", "shop", "shop" }).exact;
     return std::count_if(crashes.begin(), crashes.end(), [&](const report_crash& report) {
-      return std::find(report.requests.begin(), report.requests.end(), digest) !=
-             report.requests.end();
+      return std::any_of(report.requests.begin(),
+                         report.requests.end(),
+                         [&](const crash_suspicion& item) { return item.request == digest; });
     });
   };
   BOOST_TEST(count_reports("/odd") == 1);
   BOOST_TEST(count_reports("/slow") == 1);
 }
 
+// Guards against a success for the caller when the server stopped within the head of its response.
+BOOST_AUTO_TEST_CASE(response_that_is_cut_in_its_head_is_no_success)
+{
+  static const std::string TARGET = "/order/x"; // Not retried.
+  std::size_t length = 0;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    to->send(response_to(head, "hello").substr(0, length));
+    to->close_after_send();
+  };
+  const std::size_t complete =
+    response_to("\r\nX-Shallotfield-Request-Id: r00\r\n", "hello").size();
+  for (length = 0; length < complete; ++length) {
+    const std::string id = "r" + std::to_string(100 + length).substr(1);
+    const auto caller = call();
+    caller->send(id.size() == 3 ? id : "r99", TARGET);
+    BOOST_TEST(run_until(context, [&] { return caller->open_requests() == 0; }));
+    caller->close();
+  }
+  for (const auto& [id, status] : record.statuses) {
+    BOOST_TEST(status == 502U, id << " " << status);
+  }
+}
+
+// Guards against requests that wait for their deadline at a server that crashed without closing its
+// connections, and against a crash that is not ascribed to them.
+BOOST_AUTO_TEST_CASE(new_incarnation_ends_the_requests_of_the_former_one)
+{
+  server.on_request = [](const scripted_connection_ptr&, const std::string&) {};
+  const auto caller = call();
+  caller->send("r1", "/order/x", 2000);
+  BOOST_TEST(run_until(context, [this] { return server.requests == 1; }));
+  traffic->set_server({ "shop", "i-2", SLOTS, server_state::ready }, 2);
+  run_for(200ms);
+  BOOST_TEST(record.statuses["r1"] == 502U);
+  BOOST_REQUIRE(crashes.size() == 1U);
+  BOOST_TEST((crashes[0].proof == crash_proof::new_incarnation));
+  BOOST_TEST(crashes[0].requests.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(proxy_beside_the_server_rejects_a_request_that_others_still_send)
 {
   server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
@@ -381,9 +421,10 @@
   };
   crash_registry registry;
   for (std::uint64_t crash = 1; crash <= 3; ++crash) {
-    registry.add(
-      { digest_request({ "GET", "/odd", "", "other" }).exact, crash, read_clocks().mono, false },
-      read_clocks().mono);
+    registry.add({ digest_request({ "GET", "h", "/odd", "", "other", "shop" }).exact,
+                   crash,
+                   read_clocks().mono },
+                 read_clocks().mono);
   }
   traffic->set_suspects(registry.build_view());
   call_open call;
--- a/tests/process/crash_registry_test.cpp
+++ b/tests/process/crash_registry_test.cpp
@@ -11,7 +11,10 @@
 static crash_record
 make_record(std::uint64_t request, std::uint64_t crash, mono_ms age, bool is_acquitted = false)
 {
-  return { { request, 0 }, crash, NOW - age, is_acquitted };
+  return { { request, 0 },
+           crash,
+           NOW - age,
+           is_acquitted ? crash_finding::acquitted : crash_finding::suspected };
 }
 
 static std::size_t
@@ -67,6 +70,47 @@
   BOOST_TEST(registry.shared_records().empty());
 }
 
+BOOST_AUTO_TEST_CASE(trials_are_merged_in_any_order)
+{
+  std::vector<crash_record> records = {
+    make_record(1, 11, 9000),
+    make_record(1, 12, 8900),
+    make_record(1, 13, 8800),
+    { { 1, 0 }, 21, NOW - 7000, crash_finding::trial_open },
+    { { 1, 0 }, 14, NOW - 6900, crash_finding::suspected_on_trial },
+    { { 1, 0 }, 14, NOW - 6900, crash_finding::suspected_together },
+    { { 1, 0 }, 22, NOW - 5000, crash_finding::trial_open },
+    { { 1, 0 }, 22, NOW - 5000, crash_finding::trial_ended },
+    { { 1, 0 }, 23, NOW - 1000, crash_finding::trial_open },
+  };
+  std::mt19937 random(7);
+  for (int round = 0; round < 200; ++round) {
+    std::shuffle(records.begin(), records.end(), random);
+    crash_registry registry;
+    for (const crash_record& record : records) {
+      registry.add(record, NOW);
+    }
+    const crash_suspect suspect = registry.build_view()->at({ 1, 0 });
+    BOOST_TEST(suspect.crashes == 4U);
+    BOOST_TEST(suspect.crashed_trials == 2U);
+    BOOST_TEST(suspect.failed_trials == 0U);
+    BOOST_TEST(suspect.late_crashes == 0U);
+    BOOST_TEST(suspect.latest_trial == 23U);
+    BOOST_TEST(suspect.open_trial_at == NOW - 1000);
+    BOOST_TEST(registry.size() == 1U);
+  }
+}
+
+// Guards against a request that is rejected because one crash is told again and again.
+BOOST_AUTO_TEST_CASE(repeated_crash_counts_once)
+{
+  crash_registry registry;
+  for (int i = 0; i < 1000; ++i) {
+    registry.add(make_record(1, 11, i), NOW);
+  }
+  BOOST_TEST(crashes_of(registry, 1) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(old_records_are_forgotten_and_not_taken_again)
 {
   static constexpr mono_ms DAY_MS = 86'400'000;
--- a/tests/request/exchange_test.cpp
+++ b/tests/request/exchange_test.cpp
@@ -92,9 +92,10 @@
   void add_crashes(const std::string& target, std::uint64_t crashes)
   {
     crash_registry registry;
-    const request_digest digest = digest_request({ "GET", target, "", "other" }).any_caller;
+    const request_digest digest =
+      digest_request({ "GET", "h", target, "", "other", "shop" }).any_caller;
     for (std::uint64_t crash = 1; crash <= crashes; ++crash) {
-      registry.add({ digest, crash, 0, false }, 0);
+      registry.add({ digest, crash, 0 }, 0);
     }
     proxy.suspects = registry.build_view();
   }
@@ -233,6 +234,31 @@
                    5) == "503:crashes_servers+ ");
 }
 
+// Guards against trials of a request at one server for each proxy, and against a trial that goes to
+// another server when the first one rejects it or is lost.
+BOOST_AUTO_TEST_CASE(trial_goes_to_one_server_only)
+{
+  add_crashes("/read/odd", 3);
+  exchange = {};
+  const auto begin = [this](const node_id& self, const std::string& zone) {
+    proxy.self = make_node(self, zone, "other");
+    set_peer_view(proxy, proxy.view);
+    exchange = {};
+    exchange.head = { "GET", "/read/odd", { { "Host", "h" } } };
+    exchange.table = table;
+    return raise(exchange_started{}, 1500);
+  };
+  const std::string chosen = begin("a", "west-a");
+  BOOST_TEST(chosen.starts_with(">"));
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::queue_full, outcome::not_run, 80, {} },
+                   1505) == "503:queue_full+ ");
+  for (const char* zone : { "west-b", "east-a", "west-a" }) {
+    BOOST_TEST(begin("x", zone) == chosen);
+  }
+  BOOST_TEST(raise(attempt_failed{ 0, failure_reason::server_lost, outcome::unknown, 0, {} },
+                   1505) == "502:server_lost ");
+}
+
 BOOST_AUTO_TEST_CASE(server_that_sends_no_valid_response_counts_as_failing)
 {
   for (int i = 0; i < 12; ++i) {
