Refuse requests that wait for the local server once they are found

What callers saw: by the code, a request that waited in the slot queue was sent to the server although it had been found to crash servers meanwhile.

Cause: the suspects were asked about on arrival only. Now the requests that wait are asked about again whenever the suspects change, which also refuses them at once. Places where a request waits or is passed on were looked through: the delay after a pause and retries ask when they go on; calls on a link and local ones are asked about on arrival; a connection to the server that is being opened is bounded by 500 ms.

--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -180,6 +180,16 @@
 {
   post([this, suspects = std::move(suspects)] {
     proxy_.suspects = suspects;
+    // Refusing a request removes its entry from server_requests_, so the ids are copied first.
+    std::vector<slot_ticket> waiting;
+    for (const auto& [id, request] : server_requests_) {
+      if (!request.stream) {
+        waiting.push_back(id);
+      }
+    }
+    for (const slot_ticket id : waiting) {
+      check_suspect(id);
+    }
   });
 }
 
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -398,6 +398,36 @@
   }
 }
 
+// Guards against a request that waits for a slot while others find out that it crashes servers, and
+// is sent to the server all the same.
+BOOST_AUTO_TEST_CASE(request_that_waits_is_refused_once_it_is_found)
+{
+  int odd_arrivals = 0;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    odd_arrivals += head.starts_with("GET /odd") ? 1 : 0;
+    to->send_later(response_to(head, "hello"), 700ms);
+  };
+  const auto caller = call();
+  for (std::uint32_t i = 0; i < SLOTS; ++i) {
+    call()->send("busy" + std::to_string(i), "/busy");
+  }
+  BOOST_TEST(run_until(context, [this] { return server.requests == SLOTS; }));
+  caller->send("odd", "/odd");
+  run_for(100ms);
+  BOOST_TEST(traffic->open_requests() > SLOTS);
+  crash_registry registry;
+  const mono_ms now = read_clocks().mono;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    registry.add({ digest_request({ "GET", "h", "/odd", "", "", "" }).any_caller, crash, now },
+                 now);
+  }
+  traffic->set_suspects(registry.build_view());
+  run_for(200ms);
+  BOOST_TEST(record.statuses["odd"] == 503U);
+  BOOST_TEST(run_until(context, [this] { return record.statuses.size() == SLOTS + 1; }));
+  BOOST_TEST(odd_arrivals == 0);
+}
+
 // Guards against requests that wait for their deadline at a server that crashed without closing its
 // connections, and against a crash that is not ascribed to them.
 BOOST_AUTO_TEST_CASE(new_incarnation_ends_the_requests_of_the_former_one)
