Store rejected requests, so that they outlive all proxies

Cause: what the proxies know of crashes lived in their processes only.

The proxy beside the server that crashed last stores the records of a request that is rejected from then on, under a key beside the directory of nodes, which each proxy reads at its start in any case. It is removed when the request is acquitted.

Tests: proxy_nodes/request_that_is_found_is_stored and requests_that_are_stored_are_known_after_a_restart (with odd records beside a good one), proxy_codecs/stored_suspects_round_trip (with damaged ones).

--- a/src/connection/crash_report_codec.cpp
+++ b/src/connection/crash_report_codec.cpp
@@ -17,6 +17,18 @@
  * whether the request is acquitted. */
 static constexpr std::uint64_t CRASH_FORMAT_VERSION_1 = 101;
 
+/** Version of the format of rejected requests in the store. */
+static constexpr std::uint64_t STORED_FORMAT_VERSION = 1;
+
+/** Start of the keys of rejected requests in the store, where other keys are ids of nodes. */
+static constexpr std::string_view STORED_KEY_PREFIX = "crash-suspect.";
+
+/** Number of elements before the records of a stored request: format, wall-clock time, node. */
+static constexpr std::size_t STORED_HEADER_FIELDS = 3;
+
+/** Size limit of the name of the node that stored a request. */
+static constexpr std::size_t STORED_NODE_BYTES_MAX = 256;
+
 /** Position of the format version in a datagram, after the header of the msgpack array. */
 static constexpr std::size_t FORMAT_OFFSET = 3;
 
@@ -133,4 +145,65 @@
   return result;
 }
 
+std::string
+stored_suspect_key(const request_digest& request)
+{
+  return std::string(STORED_KEY_PREFIX) + format_digest(request);
+}
+
+bool
+is_stored_suspect_key(std::string_view key)
+{
+  return key.starts_with(STORED_KEY_PREFIX);
+}
+
+std::string
+encode_stored_suspect(const stored_suspect& suspect, const instant& now)
+{
+  json items = { STORED_FORMAT_VERSION, now.unix, suspect.node };
+  for (const crash_record& record : suspect.records) {
+    items.push_back(write_crash_record(record, now.mono));
+  }
+  std::string bytes;
+  json::to_msgpack(items, bytes);
+  return bytes;
+}
+
+leaf::result<stored_suspect>
+parse_stored_suspect(std::string_view key, std::string_view value, const instant& now)
+{
+  if (value.size() > BEACON_DATAGRAM_BYTES_MAX) {
+    return leaf::new_error(frame_error{ frame_fault::too_large });
+  }
+  std::optional<frame_error> error;
+  const json items = decode_head(value, error);
+  if (error) {
+    return leaf::new_error(*error);
+  }
+  const bool has_header = items.is_array() && items.size() > STORED_HEADER_FIELDS &&
+                          items[0].is_number_unsigned() && items[1].is_number_integer() &&
+                          items[2].is_string();
+  if (!has_header) {
+    return leaf::new_error(frame_error{ frame_fault::bad_message });
+  }
+  if (items[0].get<std::uint64_t>() != STORED_FORMAT_VERSION) {
+    return leaf::new_error(frame_error{ frame_fault::wrong_protocol });
+  }
+  // The clock of the node that wrote the record may differ from this one's, or one may have jumped.
+  const auto written_at = items[1].get<unix_ms>();
+  const mono_ms age = written_at > 0 && written_at < now.unix ? now.unix - written_at : 0;
+  stored_suspect result{ items[2].get<std::string>(), {} };
+  for (std::size_t i = STORED_HEADER_FIELDS; i < items.size(); ++i) {
+    const auto record = read_crash_record(items[i], CRASH_FORMAT_VERSION, now.mono - age);
+    if (!record || stored_suspect_key(record->request) != key) {
+      return leaf::new_error(frame_error{ frame_fault::bad_message });
+    }
+    result.records.push_back(*record);
+  }
+  if (result.node.size() > STORED_NODE_BYTES_MAX) {
+    return leaf::new_error(frame_error{ frame_fault::bad_message });
+  }
+  return result;
+}
+
 } // namespace shallotfield
--- a/src/process/proxy_crash_news.cpp
+++ b/src/process/proxy_crash_news.cpp
@@ -63,6 +63,13 @@
                 { "at_work_ms", item.at_work_ms },
                 { "trial", item.is_on_trial ? "yes" : "no" } });
   }
+  // Of all proxies, the one beside the server that crashed last stores the request.
+  for (const crash_record& record : news) {
+    const auto known = suspects_->find(record.request);
+    if (known != suspects_->end() && known->second.crashes >= REJECTED_FROM_CRASHES) {
+      schedule_suspect_write(record.request);
+    }
+  }
 }
 
 void
@@ -140,6 +147,9 @@
     log_event::suspect_cleared,
     { { "digest", format_digest(request) }, { "crashes", crashes }, { "reason", "completed" } });
   announce_crash_news(changed);
+  if (crashes >= REJECTED_FROM_CRASHES) {
+    schedule_suspect_write(request);
+  }
 }
 
 void
--- a/src/process/proxy_directory.cpp
+++ b/src/process/proxy_directory.cpp
@@ -111,6 +111,10 @@
     if (record.value.empty()) {
       continue; // The entry was deleted.
     }
+    if (is_stored_suspect_key(record.key)) {
+      restore_suspect(record);
+      continue;
+    }
     leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(address, parse_directory_entry(record.key, record.value));
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -190,6 +190,7 @@
   send_crash_news();
   remind_of_crashes(now);
   review_trial(review_tick{ count_other_servers() }, now);
+  write_due_suspects(now);
   log_dropped_lines(now);
   advance_discovery();
   probe_server();
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -51,6 +51,14 @@
     mono_ms started_at = 0;                ///< When the peer was asked.
   };
 
+  /** A call to the store about a rejected request that is due or under way. */
+  struct suspect_write
+  {
+    mono_ms due_at = 0;
+    int remaining = 0;        ///< Remaining number of attempts.
+    std::uint64_t change = 0; ///< Number of the change that is to be written.
+  };
+
   /** A crash record that is sent to all peers. */
   struct crash_news
   {
@@ -107,6 +115,14 @@
   /** Handles the crash records of a peer. Returns whether they changed what is known. */
   bool receive_crash_records(std::string_view datagram, const QHostAddress& sender);
 
+  // proxy_suspect_store.cpp: rejected requests in the store, which outlive all processes.
+  /** Schedules a call that stores a request, or removes it if it is no longer rejected. */
+  void schedule_suspect_write(const request_digest& request);
+  void write_due_suspects(mono_ms now);
+  void write_suspect(const request_digest& request);
+  /** Adds a rejected request that a node has stored. */
+  void restore_suspect(const platform::keyed_record& record);
+
   // proxy_directory.cpp: discovery of peers through the store.
   /** Registers this node in the directory or reads the directory, whichever is due. */
   void advance_discovery();
@@ -189,6 +205,9 @@
   std::vector<crash_news> crash_news_;      ///< Records that are being sent to all peers.
   trial_review trial_review_;               ///< Reviews crashes of the local server at trials.
   std::uint64_t published_incarnation_ = 0; ///< Process of the local server as last published.
+  std::map<request_digest, suspect_write> suspect_writes_; ///< Calls that are due or under way.
+  std::uint64_t suspect_changes_ = 0;                      ///< Number of the latest change.
+  std::size_t suspects_restored_ = 0;        ///< Rejected requests read from the store.
   random_source crash_reminder_random_;      ///< Chooses the peers to remind.
   mono_ms next_crash_reminder_at_ = 0;       ///< When peers are next reminded.
   mono_ms next_dropped_lines_report_at_ = 0; ///< When dropped log lines are next reported.
--- a/tests/connection/proxy_codec_test.cpp
+++ b/tests/connection/proxy_codec_test.cpp
@@ -123,6 +123,44 @@
   BOOST_TEST(report->rejected_records == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(stored_suspects_round_trip)
+{
+  static constexpr instant WRITTEN{ 500'000, 1'700'000'000'000 };
+  static constexpr instant READ{ 9000, 1'700'000'003'000 };
+  const request_digest request{ 7, 9 };
+  const std::string key = stored_suspect_key(request);
+  BOOST_TEST(is_stored_suspect_key(key));
+  BOOST_TEST(!is_stored_suspect_key("sidecar-a-1"));
+  const std::string value =
+    encode_stored_suspect({ "a",
+                            { { request, 1, WRITTEN.mono - 2000, crash_finding::suspected },
+                              { request, 2, WRITTEN.mono, crash_finding::trial_open } } },
+                          WRITTEN);
+  const auto read = value_of([&] { return parse_stored_suspect(key, value, READ); });
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->node == "a");
+  BOOST_TEST(read->records.size() == 2U);
+  BOOST_TEST(read->records[0].happened_at == READ.mono - 5000);
+  BOOST_TEST((read->records[1].finding == crash_finding::trial_open));
+  // The clock of the reader is behind.
+  const auto early = value_of([&] {
+    return parse_stored_suspect(key, value, { 9000, WRITTEN.unix - 5000 });
+  });
+  BOOST_TEST(early->records[0].happened_at == 7000);
+  // A record under the key of another request, damaged ones, and too large ones are rejected.
+  BOOST_TEST(!value_of([&] { return parse_stored_suspect(key + "0", value, READ); }));
+  BOOST_TEST(!value_of([&] { return parse_stored_suspect(key, std::string(1300, '\x91'), READ); }));
+  std::mt19937 random(31);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string damaged = value.substr(0, random() % (value.size() + 1));
+    for (int changes = static_cast<int>(random() % 4); changes > 0 && !damaged.empty(); --changes) {
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    }
+    const auto odd = value_of([&] { return parse_stored_suspect(key, damaged, READ); });
+    BOOST_TEST((!odd || odd->records.size() <= 2U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(directory_entries_round_trip)
 {
   const auto read =
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -25,6 +25,7 @@
   std::vector<std::string> page_calls; ///< Value of `after` of each call for a page.
   std::string operator_page = R"({"items":[],"has_more":false,"end":0})"; ///< Of `keyed.op`.
   std::string tail;                    ///< Body of each response to a read from an offset.
+  std::vector<std::string> appended;   ///< Body of each call that appends a record.
   std::vector<std::string> tail_calls; ///< Value of `from` of each such call.
 
   fake_store()
@@ -39,6 +40,9 @@
         const auto request =
           reader->feed({ bytes.data(), static_cast<std::size_t>(bytes.size()) }, fault);
         if (request) {
+          if (request->head.method == "POST") {
+            appended.push_back(request->body);
+          }
           const std::string response = format_response(200, {}, answer(request->head.target), true);
           socket->write(response.data(), static_cast<qint64>(response.size()));
         }
--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -392,6 +392,76 @@
   BOOST_TEST(run_until([&] { return second.received.is_acquitted({ 1, 1 }, 12); }));
 }
 
+/** The digest by which proxies know a request for /odd. */
+static request_digest
+digest_of_odd()
+{
+  return digest_request({ "GET", "h", "/odd", "", "", "" }).any_caller;
+}
+
+// Guards against forgetting a request that crashes servers when all proxies are killed at once.
+BOOST_AUTO_TEST_CASE(request_that_is_found_is_stored)
+{
+  store.operator_page = operator_page_with_shop();
+  fake_announcer server;
+  server.instance = "i-1";
+  server.crashes_on = "GET /odd";
+  options.server_address = server.address();
+  start();
+  fake_peer peer("127.0.0.2", static_cast<std::uint16_t>(options.peers_port + 1));
+  peer.send_beacon(1);
+  BOOST_TEST(run_until([&] { return peer.config_version == 7; }));
+  server.announce(options.announcements_address, "i-1", "heartbeat", server.heartbeat(1000, 1));
+  BOOST_TEST(run_until([&] { return peer.server.state == server_state::ready; }));
+  const mono_ms now = read_clocks().mono;
+  peer.send_records({ { digest_of_odd(), 11, now }, { digest_of_odd(), 12, now } });
+  run_for(100);
+  const std::size_t calls = store.appended.size();
+  QTcpSocket caller;
+  caller.connectToHost("127.0.0.1", options.callers_address.port);
+  caller.write("GET /odd HTTP/1.1\r\nHost: h\r\nX-Shallotfield-Request-Id: r\r\n\r\n");
+  const std::string key = stored_suspect_key(digest_of_odd());
+  BOOST_TEST(run_until([&] { return store.appended.size() > calls; }));
+  run_for(1500);
+  // One call for each digest of the request that is found, and no more.
+  BOOST_TEST(store.appended.size() == calls + 1);
+  const std::string& body = store.appended.back();
+  BOOST_REQUIRE(body.size() > 5 + key.size());
+  BOOST_TEST(body.substr(5, key.size()) == key);
+  std::size_t records = 0;
+  boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(stored,
+                      parse_stored_suspect(key, body.substr(5 + key.size()), read_clocks()));
+      records = stored.records.size();
+      return {};
+    },
+    [] { BOOST_ERROR("odd stored suspect"); });
+  BOOST_TEST(records == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_are_stored_are_known_after_a_restart)
+{
+  const instant now = read_clocks();
+  const request_digest found = digest_of_odd();
+  const std::string value = encode_stored_suspect(
+    { "b", { { found, 1, now.mono }, { found, 2, now.mono }, { found, 3, now.mono } } }, now);
+  // The other entries are odd: another version, bytes that are no record, the key of another one.
+  store.pages = { json::array({ directory_item("b", "127.0.0.2"),
+                                raw_item(stored_suspect_key({ 1, 1 }), "\x91\x07"),
+                                raw_item(stored_suspect_key({ 2, 2 }), value),
+                                raw_item(stored_suspect_key(found), value),
+                                raw_item("crash-suspect.x", std::string(3000, '\x91')) }) };
+  options.is_first_start = false;
+  fake_peer peer("127.0.0.2", static_cast<std::uint16_t>(options.peers_port + 1));
+  start();
+  run_for(300);
+  peer.send_beacon(1);
+  BOOST_TEST(run_until([&] { return peer.received.size() > 0; }));
+  BOOST_TEST(peer.received.build_view()->at(found).crashes == 3U);
+  BOOST_TEST(peer.received.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(odd_directory_entries_do_not_hide_the_others)
 {
   const std::string deep(1000, '\x91');
