Accept crash records from proxies of the fleet only

By the code, a datagram from any host could have a request rejected everywhere. Now its sender must be a peer that is known from the directory or a beacon; others are counted and logged within bounds.

Test: proxy_nodes/crash_records_of_an_unknown_sender_change_nothing.

--- a/src/process/proxy_crash_news.cpp
+++ b/src/process/proxy_crash_news.cpp
@@ -268,6 +268,14 @@
 {
   const mono_ms now = read_clocks().mono;
   const std::string host = sender.toString().toStdString();
+  const bool is_known_sender =
+    std::any_of(peers_.peers().begin(), peers_.peers().end(), [&host](const auto& item) {
+      return item.second.beacon.host == host;
+    });
+  if (!is_known_sender) {
+    refused_inputs_.report("crash_records", { { "fault", "unknown_sender" } }, now);
+    return false;
+  }
   bool has_changed = false;
   leaf::try_handle_all(
     [&]() -> leaf::result<void> {
--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -462,6 +462,23 @@
   BOOST_TEST(peer.received.size() == 1U);
 }
 
+// Guards against crash records from a sender that is no proxy of the fleet.
+BOOST_AUTO_TEST_CASE(crash_records_of_an_unknown_sender_change_nothing)
+{
+  start();
+  const auto port = static_cast<std::uint16_t>(options.peers_port + 1);
+  fake_peer stranger("127.0.0.2", port);
+  fake_peer peer("127.0.0.3", port);
+  peer.send_beacon(1);
+  run_for(100);
+  const mono_ms now = read_clocks().mono;
+  const std::uint64_t refused = counter_value(counter_id::inputs_refused);
+  stranger.send_records({ { { 1, 1 }, 11, now }, { { 1, 1 }, 12, now } });
+  run_for(1500);
+  BOOST_TEST(peer.received.size() == 0U);
+  BOOST_TEST(counter_value(counter_id::inputs_refused) > refused);
+}
+
 BOOST_AUTO_TEST_CASE(odd_directory_entries_do_not_hide_the_others)
 {
   const std::string deep(1000, '\x91');
