Remember the requests of a whole zone that crashes

By the code, 40 servers that crash at once with 18 slots taken bring 1,440 digests, over the bound of 1,024, which displaced a request that had crashed one server before. The bound is 4,096. Requests make room an eighth of the table at a time, since each search passes through all of them.

--- a/src/process/crash_registry.cpp
+++ b/src/process/crash_registry.cpp
@@ -11,9 +11,9 @@
 /** Time after which a record no longer matters. It is longer than any rejection of a request. */
 static constexpr mono_ms RETENTION_MS = 4 * 3'600'000;
 
-/** Number of requests with records. Crashes of many servers at once, each with all slots occupied,
- * stay below it in a fleet of a few dozen servers. */
-static constexpr std::size_t REQUESTS_MAX = 1024;
+/** Number of requests with records. Each request at work at a crash has two digests. The crash of a
+ * whole availability zone of 40 servers with 18 slots each stays below it twice over. */
+static constexpr std::size_t REQUESTS_MAX = 4096;
 
 /** Part of the requests that make room for others when the table is full, as a divisor. */
 static constexpr std::size_t ROOM_DIVISOR = 8;
