Show that a response which is cut in its head is never complete

Report of other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body.

--- a/tests/connection/server_stream_test.cpp
+++ b/tests/connection/server_stream_test.cpp
@@ -123,6 +123,38 @@
   }
 }
 
+// Guards against a response whose head was cut being taken for a complete one with an empty or
+// short body.
+BOOST_AUTO_TEST_CASE(response_that_is_cut_is_never_complete)
+{
+  struct cut_row
+  {
+    std::string response;
+    std::size_t complete_from; ///< From this length on, the end of the connection completes it.
+  };
+  const std::string chunked =
+    signed_head("r", "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n0\r\n\r\n";
+  const std::string sized = signed_head("r", "Content-Length: 5\r\n") + "hello";
+  const std::string unsized = signed_head("r", "");
+  const std::string of_10 = "HTTP/1.0 200 OK\r\n" + sized.substr(sized.find("X-Shallotfield"));
+  for (const cut_row& row : { cut_row{ chunked, chunked.size() },
+                              cut_row{ sized, sized.size() },
+                              cut_row{ of_10, of_10.size() },
+                              cut_row{ unsized, unsized.size() } }) {
+    for (std::size_t length = 0; length <= row.response.size(); ++length) {
+      server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+        to->send(row.response.substr(0, length));
+        to->close_after_send();
+      };
+      const std::string result = ask(open(), "r");
+      BOOST_TEST_CONTEXT(row.response << "cut after " << length << ": " << result)
+      {
+        BOOST_TEST(result.starts_with("200") == (length >= row.complete_from));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(late_copy_of_a_response_never_reaches_the_next_caller)
 {
   // The server sends a second copy of the first response, cut after any number of bytes, once the
