--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1,8 +1,10 @@
 // Measures server selection, admission control and retries in a simulation with four servers in one
-// zone. The baseline is round robin over all servers with a queue of unlimited length.
+// zone. The baseline is round robin over all servers with a queue of unlimited length. Also
+// measures what a proxy remembers of requests that crash servers, and what it tells other proxies.
 #include "request/request.h"
 
 #include <QCoreApplication>
+#include <fstream>
 #include <iostream>
 #include <queue>
 
@@ -264,12 +266,67 @@
         "in_100");
 }
 
+/** Returns the resident memory of this process in KB. */
+double
+resident_kb()
+{
+  static constexpr double PAGE_KB = 4;
+  std::ifstream status("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  status >> total >> resident;
+  return resident * PAGE_KB;
+}
+
+/** Measures the records of crashes: those of one crash with all slots occupied in a datagram to
+ * each proxy of a fleet, and a full table of them in memory. */
+void
+measure_crash_records()
+{
+  static constexpr std::uint64_t RECORDS_OF_A_CRASH = 2 * 18;
+  static constexpr int REPETITIONS = 3;
+  static constexpr std::uint64_t REQUESTS = 4096;
+  const auto make_record = [](std::uint64_t i) {
+    static constexpr std::uint64_t SPREAD = 0x9e3779b97f4a7c15U;
+    return crash_record{ { i * SPREAD, (i + 1) * SPREAD }, (i + 2) * SPREAD, 0 };
+  };
+  std::vector<crash_record> records;
+  for (std::uint64_t i = 1; i <= RECORDS_OF_A_CRASH; ++i) {
+    records.push_back(make_record(i));
+  }
+  std::size_t bytes = 0;
+  for (const std::string& datagram : encode_crash_records(records, 0)) {
+    bytes += datagram.size();
+  }
+  bytes *= REPETITIONS;
+  print("crash_bytes_received", "by_each_proxy", 0, static_cast<double>(bytes), "bytes");
+  for (const std::size_t proxies : { 12U, 87U, 295U, 4000U }) {
+    print("crash_bytes_sent",
+          "proxies_" + std::to_string(proxies),
+          0,
+          static_cast<double>(bytes * (proxies - 1)),
+          "bytes");
+  }
+  const double before_kb = resident_kb();
+  crash_registry registry;
+  for (std::uint64_t i = 1; i <= REQUESTS; ++i) {
+    registry.add(make_record(i), 0);
+  }
+  const std::array<crash_view_ptr, 2> views = { registry.build_view(), registry.build_view() };
+  print("crash_memory",
+        std::to_string(views[0]->size()) + "_requests",
+        0,
+        resident_kb() - before_kb,
+        "KB");
+}
+
 } // namespace
 
 int
 main(int argc, char** argv)
 {
   const QCoreApplication application(argc, argv);
+  measure_crash_records(); // First, since memory that others have freed would be used again.
   compare("steady_0.6", { 0.6, 0.6, 0, 1 });
   compare("swing_0.3_to_2", { 0.3, 2.0, 0, 1 });
   compare("overload_2", { 2.0, 2.0, 0, 1 });
