Check the keys of client accounts, and accept uploads

The key is looked up by digest in the version of the request, replaced by the name of its account before the request leaves the proxy, and answered with 401 if it is unknown or missing where one is needed; 503 while no configuration is known. The priority of the account goes before that of the rule. Tests: exchange_decisions, platform_configuration, platform_requests (new cases use new fields and don't build on the code before).

--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -105,9 +105,11 @@
   timed_out,          ///< The deadline passed during the request.
   cancelled,          ///< The caller disconnected.
   crashes_servers,    ///< Servers have crashed while they ran this request.
+  unknown_key,        ///< The key of the caller belongs to no client account, or is missing.
+  over_quota,         ///< The client account has used up its quota.
 };
 
-inline constexpr enum_table<failure_reason, 21> FAILURE_REASON_ROWS = { {
+inline constexpr enum_table<failure_reason, 23> FAILURE_REASON_ROWS = { {
   { failure_reason::no_route, "no_route" },
   { failure_reason::no_server, "no_server" },
   { failure_reason::unreachable, "unreachable" },
@@ -129,8 +131,10 @@
   { failure_reason::timed_out, "timed_out" },
   { failure_reason::cancelled, "cancelled" },
   { failure_reason::crashes_servers, "crashes_servers" },
+  { failure_reason::unknown_key, "unknown_key" },
+  { failure_reason::over_quota, "over_quota" },
 } };
-static_assert(is_complete(FAILURE_REASON_ROWS, failure_reason::crashes_servers));
+static_assert(is_complete(FAILURE_REASON_ROWS, failure_reason::over_quota));
 
 /** Returns the name table of failure reasons. */
 constexpr const auto&
@@ -179,7 +183,8 @@
    * service times per value of this field; the field `kind` above is the class instead.
    */
   std::string work;
-  std::int64_t priority = 0;     ///< Rank in the queue; 0 is the highest.
+  std::int64_t priority = 0;     ///< Rank in the queue, of the account or else of the rule; 0 is
+                                 ///< the highest.
   std::int64_t objective_ms = 0; ///< Time left to meet the latency objective of the route.
   /**
    * Average service time (time on a slot of a server) of requests with the same `work`, over all
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -103,9 +103,13 @@
   const platform::caller_fields fields = platform::read_caller_fields(request.head);
   added.state.request_id = fields.request_id;
   added.state.wait_ms = fields.wait_ms;
+  added.state.account_key = fields.account_key;
   added.state.head = std::move(request.head);
   added.state.body = std::move(request.body);
   added.state.table = table_;
+  if (table_ && table_->has_accounts()) {
+    platform::remove_account_fields(added.state.head);
+  }
   caller& owner = callers_.at(id);
   owner.exchanges[number] = new_exchange_id;
   if (is_draining_) {
@@ -215,7 +219,8 @@
   call.caller_service = options_.service;
   // Service times are averaged per kind of work, which for a proxy is the rule.
   call.work = state.rule->name;
-  call.priority = state.rule->priority;
+  call.customer = state.account == nullptr ? std::string() : state.account->name;
+  call.priority = state.priority;
   call.objective_ms = state.started_at + state.rule->objective_ms - read_clocks().mono;
   call.fleet_service_ms = effect.fleet_service_ms;
   call.body = state.body;
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -77,7 +77,8 @@
                               request.call.priority,
                               now + request.call.objective_ms - delivery_ms,
                               request.deadline - delivery_ms,
-                              request.call.fleet_service_ms };
+                              request.call.fleet_service_ms,
+                              request.call.customer };
   request.timeout = timers_.schedule(request.call.timeout_ms + DEADLINE_GRACE_MS,
                                      [this, id] { expire_server_request(id); });
   raise_slot_event(arrival);
@@ -155,7 +156,8 @@
   platform::write_server_fields(head,
                                 { std::max<std::int64_t>(request.deadline - now, 1),
                                   request.call.instance,
-                                  request.call.caller_service });
+                                  request.call.caller_service,
+                                  request.call.customer });
   request.stream = acquire_server_stream(request.call.is_idempotent);
   // The stream calls is_mismatched for each response, and discards those that belong to another
   // request.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -34,7 +34,9 @@
 
 static constexpr unsigned STATUS_OK = 200;
 static constexpr unsigned STATUS_REDIRECT = 300;
+static constexpr unsigned STATUS_UNAUTHORIZED = 401;
 static constexpr unsigned STATUS_NOT_FOUND = 404;
+static constexpr unsigned STATUS_TOO_MANY = 429;
 static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
 static constexpr unsigned STATUS_BAD_GATEWAY = 502;
 static constexpr unsigned STATUS_UNAVAILABLE = 503;
@@ -63,6 +65,9 @@
   std::vector<exchange_effect> take_effects() { return std::move(effects_); }
 
 private:
+  /** Finds the client account of the caller's key. Returns false if the request needs a key and has
+   * none, or an unknown one. */
+  bool identify_account();
   /** Chooses one of the rule's services by weight. */
   service_id choose_service();
   /** Chooses a server that was not tried yet and sends the request to it. Returns false if there is
@@ -134,6 +139,10 @@
     refuse(STATUS_NOT_FOUND, failure_reason::no_route, 0);
     return;
   }
+  if (!identify_account()) {
+    refuse(STATUS_UNAUTHORIZED, failure_reason::unknown_key, 0);
+    return;
+  }
   const std::int64_t wait =
     std::min(exchange_.rule->timeout_ms, exchange_.wait_ms.value_or(exchange_.rule->timeout_ms));
   exchange_.deadline = now_ + wait;
@@ -158,6 +167,23 @@
   }
 }
 
+bool
+exchange_handler::identify_account()
+{
+  exchange_.priority = exchange_.rule->priority;
+  if (!exchange_.table->has_accounts()) {
+    return true;
+  }
+  if (!exchange_.account_key) {
+    return exchange_.rule->allows_anonymous;
+  }
+  exchange_.account = exchange_.table->find_account(*exchange_.account_key);
+  if (exchange_.account != nullptr) {
+    exchange_.priority = exchange_.account->priority.value_or(exchange_.priority);
+  }
+  return exchange_.account != nullptr;
+}
+
 service_id
 exchange_handler::choose_service()
 {
@@ -229,9 +255,7 @@
 bool
 exchange_handler::try_server()
 {
-  choice_request request{
-    exchange_.service, {}, exchange_.rule->priority, expected_bytes(), 0, 0, {}
-  };
+  choice_request request{ exchange_.service, {}, exchange_.priority, expected_bytes(), 0, 0, {} };
   if (exchange_.rule->kind == request_kind::download) {
     request.bulk_objective_ms = static_cast<double>(exchange_.rule->objective_ms);
   }
@@ -411,7 +435,7 @@
     ++exchange_.rejected_attempts;
     record_retry_after(event.retry_after_ms);
     if (event.reason == failure_reason::queue_full) {
-      proxy_.tracker.record_full(node, exchange_.rule->priority, event.retry_after_ms, now_);
+      proxy_.tracker.record_full(node, exchange_.priority, event.retry_after_ms, now_);
     }
     const bool may_send_elsewhere =
       exchange_.rejected_attempts < REJECTED_ATTEMPTS_MAX &&
@@ -503,7 +527,8 @@
 void
 exchange_handler::refuse(unsigned status, failure_reason reason, std::int64_t retry_after_ms)
 {
-  const bool is_not_run = status == STATUS_UNAVAILABLE || status == STATUS_NOT_FOUND;
+  const bool is_not_run = status == STATUS_UNAVAILABLE || status == STATUS_NOT_FOUND ||
+                          status == STATUS_UNAUTHORIZED || status == STATUS_TOO_MANY;
   count(is_not_run ? counter_id::requests_not_run : counter_id::requests_unknown);
   finish("refused", enum_name(reason), status);
   effects_.emplace_back(send_error_response{ status, reason, retry_after_ms });
@@ -526,6 +551,9 @@
     fields.push_back({ "rule", exchange_.rule->name });
     fields.push_back({ "service", exchange_.service });
   }
+  if (exchange_.account != nullptr) {
+    fields.push_back({ "account", exchange_.account->name });
+  }
   if (!exchange_.attempts.empty()) {
     fields.push_back({ "node", exchange_.attempts.back().node });
   }
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -125,19 +125,22 @@
   request_head head;                      ///< Head of the request.
   std::string body;                       ///< Body of the request.
   std::optional<std::int64_t> wait_ms;    ///< Time that the caller waits; empty if it set no limit.
+  std::optional<std::string> account_key; ///< Key of the caller's client account, if it sent one.
   route_table_ptr table;                  ///< Configuration, fixed when the request began.
   const route_rule* rule = nullptr;       ///< The rule that matched; owned by the table.
-  service_id service;                     ///< Service that was chosen among the rule's targets.
-  mono_ms started_at = 0;                 ///< When the request was read completely.
-  mono_ms deadline = 0;                   ///< Time at which the request times out.
-  std::vector<exchange_attempt> attempts; ///< Attempts, in the order in which they were sent.
-  std::size_t delivered_attempts = 0;     ///< Number of attempts that reached a server or may have.
-  std::size_t rejected_attempts = 0;      ///< Number of attempts that a node rejected.
-  std::int64_t retry_after_ms = 0;        ///< Shortest retry-after time received; 0 if none.
-  bool found_full_server = false;         ///< Whether a server was skipped because it is full.
-  bool may_have_run = false;              ///< Whether an attempt that failed may have run.
-  bool is_on_trial = false;               ///< It was sent to the server of its trial only.
-  bool is_done = false;                   ///< Whether the request is over.
+  const client_account* account = nullptr; ///< Client account of the caller; owned by the table.
+  std::int64_t priority = 0;               ///< Rank: that of the account, or else of the rule.
+  service_id service;                      ///< Service that was chosen among the rule's targets.
+  mono_ms started_at = 0;                  ///< When the request was read completely.
+  mono_ms deadline = 0;                    ///< Time at which the request times out.
+  std::vector<exchange_attempt> attempts;  ///< Attempts, in the order in which they were sent.
+  std::size_t delivered_attempts = 0; ///< Number of attempts that reached a server or may have.
+  std::size_t rejected_attempts = 0;  ///< Number of attempts that a node rejected.
+  std::int64_t retry_after_ms = 0;    ///< Shortest retry-after time received; 0 if none.
+  bool found_full_server = false;     ///< Whether a server was skipped because it is full.
+  bool may_have_run = false;          ///< Whether an attempt that failed may have run.
+  bool is_on_trial = false;           ///< It was sent to the server of its trial only.
+  bool is_done = false;               ///< Whether the request is over.
   /** Digests of the request; set once some request is suspected of crashing servers. */
   std::optional<request_digests> digests;
 };
--- a/src/request/slot_policy.h
+++ b/src/request/slot_policy.h
@@ -27,6 +27,7 @@
   mono_ms deadline = 0;              ///< Time at which the request times out.
   std::int64_t fleet_service_ms = 0; ///< Average service time of such requests over all servers of
                                      ///< the fleet; 0 if unknown.
+  std::string account;               ///< Client account of the caller; empty: none.
 };
 
 /** Event: a request left its slot. */
--- a/src/request/table/failure_response_table.h
+++ b/src/request/table/failure_response_table.h
@@ -38,6 +38,8 @@
   { failure_reason::timed_out,          outcome::unknown, 504, false, 0 },
   { failure_reason::cancelled,          outcome::unknown, 499, false, 0 },
   { failure_reason::crashes_servers,    outcome::not_run, 503, false, 0 },
+  { failure_reason::unknown_key,        outcome::not_run, 401, false, 0 },
+  { failure_reason::over_quota,         outcome::not_run, 429, false, 1 },
 } };
 // clang-format on
 
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -1,6 +1,8 @@
 // Lookup of routing rules by host and longest path prefix.
 #include "route_table_type.h"
 
+#include <QCryptographicHash>
+
 namespace shallotfield {
 
 std::string
@@ -13,6 +15,15 @@
   return name;
 }
 
+/** Returns the digest under which a key is stored. */
+static std::string
+digest_of_key(std::string_view key)
+{
+  return QCryptographicHash::hash(QByteArrayView(key.data(), static_cast<qsizetype>(key.size())),
+                                  QCryptographicHash::Sha256)
+    .toStdString();
+}
+
 route_table::route_table(route_document from)
   : document_(std::move(from))
 {
@@ -22,6 +33,11 @@
   for (const service_rule& service : document_.services) {
     by_service_.emplace(service.service, &service);
   }
+  for (const client_account& account : document_.accounts) {
+    for (const std::string& key : account.keys) {
+      by_key_digest_.emplace(digest_of_key(key), &account);
+    }
+  }
 }
 
 const route_rule*
@@ -52,4 +68,11 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+const client_account*
+route_table::find_account(std::string_view key) const
+{
+  const auto found = by_key_digest_.find(digest_of_key(key));
+  return found == by_key_digest_.end() ? nullptr : found->second;
+}
+
 } // namespace shallotfield
--- a/src/version/route_table_type.h
+++ b/src/version/route_table_type.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -18,14 +19,16 @@
   idempotent,   ///< A request may be executed more than once.
   at_most_once, ///< A request must be executed at most once.
   download,     ///< Idempotent, with a large response.
+  upload,       ///< A request with a large body, which must be executed at most once.
 };
 
-inline constexpr enum_table<request_kind, 3> REQUEST_KIND_ROWS = { {
+inline constexpr enum_table<request_kind, 4> REQUEST_KIND_ROWS = { {
   { request_kind::idempotent, "idempotent" },
   { request_kind::at_most_once, "single" },
   { request_kind::download, "download" },
+  { request_kind::upload, "upload" },
 } };
-static_assert(is_complete(REQUEST_KIND_ROWS, request_kind::download));
+static_assert(is_complete(REQUEST_KIND_ROWS, request_kind::upload));
 
 /** Returns the name table of request kinds. */
 constexpr const auto&
@@ -38,7 +41,7 @@
 constexpr bool
 is_idempotent(request_kind kind)
 {
-  return kind != request_kind::at_most_once;
+  return kind == request_kind::idempotent || kind == request_kind::download;
 }
 
 /** Returns the host name in the value of a Host header, in lower case and without the port. */
@@ -66,6 +69,8 @@
   std::int64_t timeout_ms = 0;           ///< Maximum time until the final response.
   std::int64_t attempts_max = 1;         ///< Maximum number of attempts that reach a server.
   std::vector<weighted_service> targets; ///< Target services; at least one.
+  bool allows_anonymous = false; ///< Whether requests without a key are accepted although the
+                                 ///< configuration has client accounts.
   bool operator==(const route_rule&) const = default;
 };
 
@@ -77,6 +82,17 @@
   bool operator==(const service_rule&) const = default;
 };
 
+/** A client account: the keys of its callers, the rank of their requests, and its quota. */
+struct client_account
+{
+  std::string name;                     ///< Name of the account; servers are told it.
+  std::vector<std::string> keys;        ///< Keys, each of which belongs to this account only.
+  std::optional<std::int64_t> priority; ///< Priority of its requests in place of that of the rule.
+  double rate_per_s = 0;     ///< Quota: requests a second over all proxies; 0: unlimited.
+  double burst_requests = 0; ///< Quota: requests that may be made in addition, at once.
+  bool operator==(const client_account&) const = default;
+};
+
 /** Limits for callers' connections and requests. */
 struct caller_limits
 {
@@ -94,6 +110,8 @@
   caller_limits limits;               ///< Limits for callers.
   std::vector<route_rule> rules;      ///< Routing rules in no particular order.
   std::vector<service_rule> services; ///< Services in no particular order.
+  /** Client accounts in no particular order. If there are none, requests need no key. */
+  std::vector<client_account> accounts;
 };
 
 /** An immutable configuration version of a proxy, with lookup by host, path and service. */
@@ -118,11 +136,24 @@
    * there is none. */
   const service_rule* find_service(const service_id& service) const;
 
+  /** Returns whether the configuration has client accounts. */
+  bool has_accounts() const { return !document_.accounts.empty(); }
+
+  /** Returns all client accounts, which are valid as long as the table. */
+  const std::vector<client_account>& accounts() const { return document_.accounts; }
+
+  /** Returns the account to which a key belongs, which is valid as long as the table, or nullptr if
+   * the key is unknown. */
+  const client_account* find_account(std::string_view key) const;
+
 private:
   route_document document_; ///< Owns the rules and services to which the maps refer.
   std::unordered_map<std::string, std::unordered_map<std::string, const route_rule*>>
     by_host_; ///< Rules by host, then by path prefix.
   std::unordered_map<std::string, const service_rule*> by_service_; ///< Services by name.
+  /** Accounts by the digest of a key, so that the time of a search doesn't depend on how much of a
+   * key was guessed. */
+  std::unordered_map<std::string, const client_account*> by_key_digest_;
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -93,7 +93,7 @@
   const caller_fields fields = read_caller_fields(head);
   BOOST_TEST(fields.request_id == "r1");
   BOOST_TEST(fields.wait_ms.value() == 2000);
-  write_server_fields(head, { 700, "i-7", "shop" });
+  write_server_fields(head, { 700, "i-7", "shop", "" });
   BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Deadline-Ms") == "700");
   BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Caller-Service") == "shop");
   BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Expected-Instance") == "i-7");
@@ -136,6 +136,21 @@
   BOOST_TEST(find_header(error_response_headers("", 0), "Retry-After") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(key_of_an_account_is_read_and_replaced_by_the_account)
+{
+  request_head head{
+    "GET", "/", { { "authorization", "token k-1" }, { "x-shallotfield-tenant-id", "other" } }
+  };
+  BOOST_TEST(read_caller_fields(head).account_key.value() == "k-1");
+  remove_account_fields(head);
+  BOOST_TEST(head.headers.empty());
+  write_server_fields(head, { 5, "", "caller", "till" });
+  BOOST_TEST(*find_header(head.headers, "X-Shallotfield-Tenant-Id") == "till");
+  head.headers = { { "Authorization", "Basic abc" } };
+  BOOST_TEST(read_caller_fields(head).account_key.value().empty());
+  BOOST_TEST(!read_caller_fields({ "GET", "/", {} }).account_key);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /** A valid configuration in the operator's format. */
@@ -207,6 +222,61 @@
   BOOST_TEST(invalid_field_of(configuration()) == "none");
 }
 
+BOOST_AUTO_TEST_CASE(client_accounts_are_parsed)
+{
+  json from = configuration();
+  from["tenants"] = { { { "name", "till" },
+                        { "api_keys", { "k1", "k2" } },
+                        { "priority", 1 },
+                        { "rate_per_s", 35.5 },
+                        { "burst", 20 } },
+                      { { "name", "office" }, { "api_keys", json::array() } } };
+  from["listeners"][0]["rules"][0]["allow_anonymous"] = true;
+  from["listeners"][0]["rules"][0]["kind"] = "upload";
+  auto document = value_of([&] { return parse_configuration(from.dump()); });
+  BOOST_REQUIRE(document.has_value());
+  BOOST_TEST(document->rules[0].allows_anonymous);
+  BOOST_TEST((document->rules[0].kind == request_kind::upload));
+  BOOST_TEST(!is_idempotent(document->rules[0].kind));
+  const route_table table(std::move(*document));
+  BOOST_REQUIRE(table.has_accounts());
+  const client_account* till = table.find_account("k2");
+  BOOST_REQUIRE(till != nullptr);
+  BOOST_TEST((*till == client_account{ "till", { "k1", "k2" }, 1, 35.5, 20 }));
+  BOOST_TEST((table.find_account("k") == nullptr));
+  BOOST_TEST((table.find_account("") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(invalid_accounts_reject_the_whole_configuration)
+{
+  const json valid = { { "name", "a" }, { "api_keys", { "k" } } };
+  const std::vector<std::tuple<std::string, json, std::string>> rows = {
+    { "/tenants", 3, "tenants" },
+    { "/tenants/0", 3, "tenants" },
+    { "/tenants/0/name", "", "name" },
+    { "/tenants/0/name", std::string(70'000, 'n'), "name" },
+    { "/tenants/1", valid, "name" },
+    { "/tenants/1", { { "name", "b" }, { "api_keys", { "k" } } }, "api_keys" },
+    { "/tenants/0/api_keys", "k", "api_keys" },
+    { "/tenants/0/api_keys/0", "", "api_keys" },
+    { "/tenants/0/api_keys/0", std::string(65'536, 'k'), "api_keys" },
+    { "/tenants/0/api_keys", json(101, "k"), "api_keys" },
+    { "/tenants", json(10'001, valid), "tenants" },
+    { "/tenants/0/rate_per_s", -1, "rate_per_s" },
+    { "/tenants/0/rate_per_s", 1e300, "rate_per_s" },
+    { "/tenants/0/rate_per_s", "1", "rate_per_s" },
+    { "/tenants/0/burst", -1, "burst" },
+    { "/tenants/0/priority", -1, "priority" },
+    { "/listeners/0/rules/0/allow_anonymous", 1, "allow_anonymous" },
+  };
+  for (const auto& [pointer, value, field] : rows) {
+    json changed = configuration();
+    changed["tenants"] = json::array({ valid });
+    changed[json::json_pointer(pointer)] = value;
+    BOOST_TEST(invalid_field_of(changed) == field, pointer);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(platform_store)
--- a/tests/request/exchange_test.cpp
+++ b/tests/request/exchange_test.cpp
@@ -58,6 +58,7 @@
     exchange = {};
     exchange.request_id = "r";
     exchange.head = { "GET", target, { { "Host", "h" } } };
+    exchange.account_key = key;
     exchange.table = table;
     return raise(exchange_started{}, 0);
   }
@@ -100,9 +101,10 @@
     proxy.suspects = registry.build_view();
   }
 
-  proxy_state proxy;       ///< State shared by the requests.
-  route_table_ptr table;   ///< The configuration.
-  exchange_state exchange; ///< The request under test.
+  proxy_state proxy;              ///< State shared by the requests.
+  std::optional<std::string> key; ///< Key that the caller sends.
+  route_table_ptr table;          ///< The configuration.
+  exchange_state exchange;        ///< The request under test.
 };
 
 BOOST_FIXTURE_TEST_SUITE(exchange_decisions, proxy_fixture)
@@ -284,4 +286,38 @@
   BOOST_TEST(raise(exchange_started{}, 20'000) == ">b ");
 }
 
+BOOST_AUTO_TEST_CASE(requests_need_the_key_of_an_account_if_there_are_accounts)
+{
+  route_document document;
+  document.version = 4;
+  document.rules = {
+    { "read", "h", "/read/", request_kind::idempotent, 300, 2, 800, 2, { { "shop", 1 } } },
+    { "call", "h", "/call/", request_kind::idempotent, 300, 2, 800, 2, { { "shop", 1 } }, true }
+  };
+  document.accounts = { { "till", { "k1", "k2" }, 0 }, { "office", { "k3" }, {} } };
+  table = std::make_shared<const route_table>(std::move(document));
+  BOOST_TEST(start("/read/1") == "401:unknown_key ");
+  key = "k";
+  BOOST_TEST(start("/read/1") == "401:unknown_key ");
+  BOOST_TEST(start("/call/1") == "401:unknown_key ");
+  key = "k2";
+  BOOST_TEST(start("/read/1") == ">b ");
+  BOOST_TEST(exchange.account->name == "till");
+  BOOST_TEST(exchange.priority == 0);
+  key = "k3";
+  BOOST_TEST(start("/read/1") == ">b ");
+  BOOST_TEST(exchange.account->name == "office");
+  BOOST_TEST(exchange.priority == 2);
+  key.reset();
+  BOOST_TEST(start("/call/1") == ">b ");
+  BOOST_TEST((exchange.account == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(requests_without_a_configuration_are_not_rejected_for_their_key)
+{
+  table = nullptr;
+  key = "k";
+  BOOST_TEST(start("/read/1") == "503:stale+ ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/request/interleaving_test.cpp
+++ b/tests/request/interleaving_test.cpp
@@ -267,7 +267,7 @@
   };
   const slot_ticket added = from.state.size() + 1;
   if (added <= 3) {
-    step(slot_arrival{ added, "work", 1, 150, DEADLINE, 0 },
+    step(slot_arrival{ added, "work", 1, 150, DEADLINE, 0, {} },
          "+" + std::to_string(added),
          [&](auto& at) { at.state[added] = 'w'; });
   }
--- a/tests/request/slot_test.cpp
+++ b/tests/request/slot_test.cpp
@@ -19,14 +19,14 @@
 static slot_arrival
 make_arrival(slot_ticket id, std::int64_t priority = 1, mono_ms deadline = 1000)
 {
-  return { id, "work", priority, 500, deadline, 0 };
+  return { id, "work", priority, 500, deadline, 0, {} };
 }
 
 /** Makes a request whose latency objective is also its deadline. */
 static slot_arrival
 make_arrival_until(slot_ticket id, mono_ms objective)
 {
-  return { id, "work", 1, objective, objective, 0 };
+  return { id, "work", 1, objective, objective, 0, {} };
 }
 
 /** Formats effects: `+1` starts request 1, `-1:reason` refuses it. */
@@ -126,7 +126,7 @@
   slot_queue queue = make_queue(4);
   mono_ms now = 0;
   for (slot_ticket id = 1; id <= 40; ++id) {
-    queue.handle(slot_arrival{ id, "work", 1, now + 5000, now + 5000, 100 }, now);
+    queue.handle(slot_arrival{ id, "work", 1, now + 5000, now + 5000, 100, {} }, now);
     now += id % 2 == 0 ? 150 : 250;
     queue.handle(slot_finished{ id, true }, now);
   }
@@ -141,7 +141,7 @@
   // A server that hangs gives no responses, so only the requests that time out show how slow it is.
   slot_queue queue = make_queue(4);
   for (slot_ticket id = 1; id <= 20; ++id) {
-    queue.handle(slot_arrival{ id, "work", 1, 5000, 5000, 100 }, 0);
+    queue.handle(slot_arrival{ id, "work", 1, 5000, 5000, 100, {} }, 0);
     queue.handle(slot_timed_out{ id }, 800);
   }
   BOOST_TEST(queue.report().slowness_permille > 2500U);
@@ -184,7 +184,7 @@
       };
       for (int i = arrivals(random); i > 0; --i) {
         arrived[next] = now;
-        raise(slot_arrival{ next++, "work", 1, now + OBJECTIVE_MS, now + DEADLINE_MS, 0 });
+        raise(slot_arrival{ next++, "work", 1, now + OBJECTIVE_MS, now + DEADLINE_MS, 0, {} });
       }
       for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin())) {
         const slot_ticket id = ends.begin()->second;
