Review a configuration before it is sent

The operators asked for a check of errors, entries that can never match, limits that contradict each other, and what differs from the version in force. `shallotfield check` covers both formats with the parsers and the lookup of the program itself, prints lines or JSON, and exits with 9 if there are findings. An error in the platform's configuration now names its place, also in the log. Tests: config_reviews, platform_configuration.

--- a/src/command/command.h
+++ b/src/command/command.h
@@ -14,7 +14,7 @@
   node,    ///< Runs a mesh node with the settings file of `--settings`.
   proxy,   ///< Runs a proxy; the platform provides its settings file and metadata store.
   publish, ///< Publishes a configuration document.
-  check,   ///< Validates a document locally, without contacting a node.
+  check,   ///< Reviews a configuration locally, without contacting a node.
   status,  ///< Shows the version in force and the number of nodes that have it.
   history, ///< Shows the latest verdicts on published documents.
   diff,    ///< Compares a document with the one in force.
@@ -40,6 +40,26 @@
   return COMMAND_ROWS;
 }
 
+/** Format of a configuration file. */
+enum class config_format
+{
+  node,  ///< The document that operators publish to nodes.
+  proxy, ///< The platform's configuration, which proxies follow.
+};
+
+inline constexpr enum_table<config_format, 2> CONFIG_FORMAT_ROWS = { {
+  { config_format::node, "node" },
+  { config_format::proxy, "proxy" },
+} };
+static_assert(is_complete(CONFIG_FORMAT_ROWS, config_format::proxy));
+
+/** Returns the name table of formats. */
+constexpr const auto&
+enum_rows(config_format)
+{
+  return CONFIG_FORMAT_ROWS;
+}
+
 /** Options of the command line. A command ignores those that it does not use. */
 struct command_options
 {
@@ -47,6 +67,8 @@
   std::string node;          ///< `--node`: operators' port of the node to contact, as HOST:PORT.
   std::string token;         ///< `--token`, or else the environment variable SHALLOTFIELD_TOKEN.
   std::string document_path; ///< `--file`: path of the document.
+  std::string format;        ///< `--format`: format of the document, a config_format.
+  std::string base_path;     ///< `--base-file`: configuration in force, to compare with.
   std::string publish_id;    ///< `--id`: publish id; run_publish() generates one if it is empty.
   std::string author;        ///< `--author`: recorded with a published document.
   std::optional<std::uint64_t> base_version; ///< `--base`: version that the document is based on.
@@ -76,7 +98,7 @@
 exit_code
 run_publish(const command_options& options);
 
-/** Validates a document locally and prints its digest. */
+/** Validates and reviews a configuration locally, and compares it with the one in force. */
 exit_code
 run_check(const command_options& options);
 
--- a/src/command/exit_code_type.h
+++ b/src/command/exit_code_type.h
@@ -16,9 +16,10 @@
   unavailable, ///< The node or the log service is unreachable; nothing was written.
   unknown,     ///< The outcome is unknown; it is safe to retry with the same publish id.
   refused,     ///< The node rejected the call.
+  findings,    ///< The document is valid, but its review has findings.
 };
 
-inline constexpr enum_table<exit_code, 9> EXIT_CODE_ROWS = { {
+inline constexpr enum_table<exit_code, 10> EXIT_CODE_ROWS = { {
   { exit_code::ok, "ok" },
   { exit_code::internal, "internal" },
   { exit_code::usage, "usage" },
@@ -28,8 +29,9 @@
   { exit_code::unavailable, "unavailable" },
   { exit_code::unknown, "unknown" },
   { exit_code::refused, "refused" },
+  { exit_code::findings, "findings" },
 } };
-static_assert(is_complete(EXIT_CODE_ROWS, exit_code::refused));
+static_assert(is_complete(EXIT_CODE_ROWS, exit_code::findings));
 
 /** Returns the name table of exit codes. */
 constexpr const auto&
--- a/src/command/operator_cmd.cpp
+++ b/src/command/operator_cmd.cpp
@@ -1,5 +1,6 @@
-// The commands for operators: publish, check, status, history, diff and drain.
+// The commands for operators that call a node: publish, status, history, diff and drain.
 #include "command.h"
+#include "command_func.h"
 #include "operator_client.h"
 #include "version/version.h"
 
@@ -8,10 +9,7 @@
 #include <QTimer>
 #include <QUrl>
 #include <QUuid>
-#include <boost/leaf/handle_errors.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace leaf = boost::leaf;
 using nlohmann::json;
@@ -36,25 +34,6 @@
   loop.exec();
 }
 
-/** A missing or invalid option of the command line. */
-struct option_error
-{
-  std::string option; ///< Name of the option, without dashes.
-};
-
-/** Reads the file that `--file` names. */
-static leaf::result<std::string>
-read_file(const std::string& path)
-{
-  std::ifstream file(path);
-  if (path.empty() || !file) {
-    return leaf::new_error(option_error{ "file" });
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 /** Parses `--node` and `--token`. */
 static leaf::result<operator_target>
 parse_target(const command_options& options)
@@ -66,29 +45,6 @@
   return operator_target{ *node, options.token };
 }
 
-/** Runs the body of a command, prints its error on standard error and returns the exit code. */
-template<typename F>
-static exit_code
-run_and_report_errors(F&& body)
-{
-  return leaf::try_handle_all(
-    std::forward<F>(body),
-    [](const option_error& error) {
-      std::cerr << "error=usage option=" << error.option << '\n';
-      return exit_code::usage;
-    },
-    [](const document_error& error) {
-      std::cerr << "error=invalid field=" << error.field << " fault=" << enum_name(error.fault)
-                << '\n';
-      return exit_code::invalid;
-    },
-    [](const call_error& error) {
-      std::cerr << "error=" << enum_name(error.code) << " detail=\"" << error.detail << "\"\n";
-      return error.code;
-    },
-    [] { return exit_code::internal; });
-}
-
 /** Formats a Unix time in ms as an ISO 8601 date and time in UTC. */
 static std::string
 format_time(std::int64_t unix_ms)
@@ -96,20 +52,6 @@
   return QDateTime::fromMSecsSinceEpoch(unix_ms, Qt::UTC).toString(Qt::ISODateWithMs).toStdString();
 }
 
-exit_code
-run_check(const command_options& options)
-{
-  return run_and_report_errors([&]() -> leaf::result<exit_code> {
-    BOOST_LEAF_AUTO(text, read_file(options.document_path));
-    BOOST_LEAF_AUTO(value, parse_bounded_json(text));
-    BOOST_LEAF_AUTO(parsed, parse_document(value));
-    std::cout << "result=valid services=" << parsed.services.size()
-              << " routes=" << parsed.routes.size()
-              << " digest=" << sha256_hex(canonical_text(value)) << '\n';
-    return exit_code::ok;
-  });
-}
-
 /** Percent-encodes a text for use as one segment of a URL path. */
 static std::string
 percent_encode(const std::string& text)
@@ -160,7 +102,7 @@
 {
   return run_and_report_errors([&]() -> leaf::result<exit_code> {
     BOOST_LEAF_AUTO(target, parse_target(options));
-    BOOST_LEAF_AUTO(text, read_file(options.document_path));
+    BOOST_LEAF_AUTO(text, read_file("file", options.document_path));
     BOOST_LEAF_AUTO(value, parse_bounded_json(text));
     BOOST_LEAF_CHECK(parse_document(value));
     const std::string id = options.publish_id.empty()
@@ -269,7 +211,7 @@
 {
   return run_and_report_errors([&]() -> leaf::result<exit_code> {
     BOOST_LEAF_AUTO(target, parse_target(options));
-    BOOST_LEAF_AUTO(text, read_file(options.document_path));
+    BOOST_LEAF_AUTO(text, read_file("file", options.document_path));
     BOOST_LEAF_AUTO(value, parse_bounded_json(text));
     BOOST_LEAF_CHECK(parse_document(value));
     BOOST_LEAF_AUTO(config, get_json(target, "/v1/config"));
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,8 @@
     ("node", "Operators' port of a node, HOST:PORT", cxxopts::value<std::string>())
     ("token", "Operators' token; default: SHALLOTFIELD_TOKEN", cxxopts::value<std::string>())
     ("file", "Document (JSON)", cxxopts::value<std::string>())
+    ("format", "Format of the document: node or proxy", cxxopts::value<std::string>()->default_value("node"))
+    ("base-file", "Configuration in force, to compare with", cxxopts::value<std::string>())
     ("id", "Publish id; repeat a publish with the same one", cxxopts::value<std::string>())
     ("author", "Who publishes", cxxopts::value<std::string>()->default_value("operator"))
     ("base", "Version that the document is based on", cxxopts::value<std::uint64_t>())
@@ -59,6 +61,8 @@
     options.token = environment;
   }
   options.document_path = text_option(line, "file");
+  options.format = line["format"].as<std::string>();
+  options.base_path = text_option(line, "base-file");
   options.publish_id = text_option(line, "id");
   options.author = line["author"].as<std::string>();
   if (line.count("base") > 0) {
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -165,7 +165,8 @@
     [&](const platform::configuration_error& error) {
       count(counter_id::updates_refused);
       write_log(log_event::update_refused,
-                { { "field", error.field },
+                { { "place", error.place },
+                  { "field", error.field },
                   { "source", effect.is_from_store ? "store" : "peer" },
                   { "in_force", follower_.version() } });
     },
--- a/src/version/route_table_type.h
+++ b/src/version/route_table_type.h
@@ -136,6 +136,15 @@
    * there is none. */
   const service_rule* find_service(const service_id& service) const;
 
+  /** Returns the decoded configuration, which is valid as long as the table. */
+  const route_document& content() const { return document_; }
+
+  /** Returns all rules, which are valid as long as the table. */
+  const std::vector<route_rule>& rules() const { return document_.rules; }
+
+  /** Returns all services, which are valid as long as the table. */
+  const std::vector<service_rule>& services() const { return document_.services; }
+
   /** Returns whether the configuration has client accounts. */
   bool has_accounts() const { return !document_.accounts.empty(); }
 
--- a/src/version/version.h
+++ b/src/version/version.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "compiled_version_base.h"  // IWYU pragma: export
 #include "config_packing.h"         // IWYU pragma: export
+#include "config_review.h"          // IWYU pragma: export
 #include "document_func.h"          // IWYU pragma: export
 #include "document_type.h"          // IWYU pragma: export
 #include "record_codec.h"           // IWYU pragma: export
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -222,6 +222,17 @@
   BOOST_TEST(invalid_field_of(configuration()) == "none");
 }
 
+BOOST_AUTO_TEST_CASE(error_names_the_place_of_the_field)
+{
+  json changed = configuration();
+  changed["listeners"][0]["rules"][1]["kind"] = "odd";
+  const auto error =
+    error_of<configuration_error>([&] { return parse_configuration(changed.dump()); });
+  BOOST_REQUIRE(error.has_value());
+  BOOST_TEST(error->place == "/listeners/0/rules/1");
+  BOOST_TEST(error->field == "kind");
+}
+
 BOOST_AUTO_TEST_CASE(client_accounts_are_parsed)
 {
   json from = configuration();
