Bound the memory and descriptors that clients make a proxy hold

Cause: nothing counted the bodies that are held together, a body was held in up to four copies, large answers were unbounded once complete, and callers' connections could use all descriptors.

Change: one budget (memory_budget, 7/16 of memory_mb) for requests that arrive, open bodies, bodies from other proxies and complete responses. Who has made no progress for longest gives way; else 503 before the body is read, or 413 for what never fits. A body is held once (shared_body). Callers' connections may use two thirds of the descriptors. Refused callers that stay are cut off.

--- a/src/command/proxy_cmd.cpp
+++ b/src/command/proxy_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <QCoreApplication>
 #include <boost/leaf/handle_errors.hpp>
+#include <malloc.h>
 
 namespace leaf = boost::leaf;
 
@@ -50,12 +51,17 @@
     });
 }
 
+/** Size from which on a block of memory is returned to the system as soon as it is freed. Without a
+ * fixed size, glibc raises it to that of large bodies, whose memory it then keeps. */
+static constexpr int RETURNED_BLOCK_BYTES = 256 << 10;
+
 /** Starts a proxy and runs the event loop until the proxy has left the fleet. */
 static leaf::result<exit_code>
 serve(const std::string& path)
 {
   BOOST_LEAF_AUTO(loaded, load_settings(path));
   start_logging();
+  mallopt(M_MMAP_THRESHOLD, RETURNED_BLOCK_BYTES);
   proxy_node node(std::move(loaded.first), loaded.second);
   node.on_stopped = [] { QCoreApplication::exit(static_cast<int>(exit_code::ok)); };
   BOOST_LEAF_CHECK(node.start());
--- a/src/connection/byte_stream.cpp
+++ b/src/connection/byte_stream.cpp
@@ -28,14 +28,18 @@
 /** Bytes read from one connection before the thread serves other connections. */
 static constexpr std::size_t READ_QUOTA_BYTES = 256U << 10U;
 
-/**
- * Limit for compacting the send buffer: once the sent data at its start reaches this size, that
- * data is erased. The memory of an empty send buffer is released if it is larger than this.
- */
-static constexpr std::size_t SEND_BUFFER_COMPACT_BYTES = 64U << 10U;
+/** Size up to which data is appended to the last segment that waits to be sent. */
+static constexpr std::size_t SEGMENT_BYTES = 64U << 10U;
+
+/** Size up to which a body is copied, so that it is sent together with the data before it. */
+static constexpr std::size_t COPIED_BODY_BYTES_MAX = 16U << 10U;
 
-byte_stream::byte_stream(asio::io_context& context)
+/** Number of segments that are passed to the kernel at once. */
+static constexpr std::size_t SEGMENTS_PER_WRITE = 8;
+
+byte_stream::byte_stream(asio::io_context& context, memory_budget_ptr budget)
   : socket_(context)
+  , copied_lease_(std::move(budget))
 {
 }
 
@@ -146,6 +150,12 @@
   wait_readable();
 }
 
+void
+byte_stream::post(std::function<void()> work)
+{
+  asio::post(socket_.get_executor(), std::move(work));
+}
+
 void
 byte_stream::pause(bool is_paused)
 {
@@ -154,30 +164,82 @@
 }
 
 void
-byte_stream::send(std::string_view bytes)
+byte_stream::append(std::string_view bytes)
 {
-  if (has_ended_ || is_closing_after_send_) {
+  if (bytes.empty()) {
     return;
   }
-  const bool was_idle = unsent_bytes() == 0;
-  send_buffer_.append(bytes);
+  if (segments_.empty() || segments_.back().text.empty() ||
+      segments_.back().text.size() + bytes.size() > SEGMENT_BYTES) {
+    segments_.emplace_back();
+  }
+  segments_.back().text.append(bytes);
+  unsent_bytes_ += bytes.size();
+  copied_bytes_ += bytes.size();
+}
+
+void
+byte_stream::write_if_idle(bool was_idle)
+{
   if (is_open_ && was_idle) {
     write();
+  } else {
+    copied_lease_.resize(copied_bytes_);
+  }
+}
+
+void
+byte_stream::send(std::string_view bytes)
+{
+  send(bytes, {});
+}
+
+void
+byte_stream::send(std::string_view front, const shared_body& body)
+{
+  if (has_ended_ || is_closing_after_send_) {
+    return;
+  }
+  const bool was_idle = unsent_bytes_ == 0;
+  append(front);
+  if (body.size() <= COPIED_BODY_BYTES_MAX) {
+    append(body);
+  } else {
+    segments_.push_back({ "", body });
+    unsent_bytes_ += body.size();
+  }
+  write_if_idle(was_idle);
+}
+
+void
+byte_stream::remove_sent(std::size_t count)
+{
+  unsent_bytes_ -= count;
+  while (count > 0) {
+    segment& first = segments_.front();
+    const std::size_t taken = std::min(count, first.rest().size());
+    first.sent += taken;
+    count -= taken;
+    if (first.rest().empty()) {
+      copied_bytes_ -= first.text.size();
+      segments_.pop_front();
+    }
   }
 }
 
 void
 byte_stream::write()
 {
-  while (!has_ended_ && send_offset_ < send_buffer_.size()) {
+  while (!has_ended_ && !segments_.empty()) {
+    std::array<asio::const_buffer, SEGMENTS_PER_WRITE> buffers;
+    for (std::size_t i = 0; i < std::min(buffers.size(), segments_.size()); ++i) {
+      const std::string_view rest = segments_[i].rest();
+      buffers[i] = asio::buffer(rest.data(), rest.size());
+    }
     boost::system::error_code error;
-    send_offset_ += socket_.write_some(
-      asio::buffer(send_buffer_.data() + send_offset_, send_buffer_.size() - send_offset_), error);
+    remove_sent(socket_.write_some(buffers, error));
     if (error == asio::error::would_block || error == asio::error::try_again) {
-      if (send_offset_ >= SEND_BUFFER_COMPACT_BYTES) {
-        send_buffer_.erase(0, send_offset_);
-        send_offset_ = 0;
-      }
+      copied_lease_.resize(copied_bytes_);
       if (!is_waiting_writable_) {
         is_waiting_writable_ = true;
         socket_.async_wait(tcp::socket::wait_write,
@@ -185,8 +247,12 @@
                              self->is_waiting_writable_ = false;
                              if (failed) {
                                self->end(stream_close_reason::broken);
-                             } else {
-                               self->write();
+                               return;
+                             }
+                             const std::size_t before = self->unsent_bytes_;
+                             self->write();
+                             if (self->on_progress && !self->has_ended_) {
+                               self->on_progress(before - std::min(before, self->unsent_bytes_));
                              }
                            });
       }
@@ -199,11 +265,7 @@
       return;
     }
   }
-  send_buffer_.clear();
-  send_offset_ = 0;
-  if (send_buffer_.capacity() > SEND_BUFFER_COMPACT_BYTES) {
-    send_buffer_.shrink_to_fit();
-  }
+  copied_lease_.resize(copied_bytes_);
   if (is_closing_after_send_ && !has_ended_) {
     boost::system::error_code ignored; // Fails only if the connection broke already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -243,6 +305,10 @@
     return;
   }
   has_ended_ = true;
+  segments_.clear();
+  unsent_bytes_ = 0;
+  copied_bytes_ = 0;
+  copied_lease_.resize(0);
   connect_timer_.reset();
   boost::system::error_code ignored; // The connection has ended, whether or not close() succeeds.
   socket_.close(ignored);
--- a/src/connection/connection.h
+++ b/src/connection/connection.h
@@ -14,9 +14,11 @@
 #include "http_codec.h"            // IWYU pragma: export
 #include "http_session_base.h"     // IWYU pragma: export
 #include "http_type.h"             // IWYU pragma: export
+#include "memory_budget_base.h"    // IWYU pragma: export
 #include "peer_stream_base.h"      // IWYU pragma: export
 #include "response_memory.h"       // IWYU pragma: export
 #include "server_stream_base.h"    // IWYU pragma: export
+#include "shared_body_type.h"      // IWYU pragma: export
 #include "timer_queue_base.h"      // IWYU pragma: export
 #include "traffic_message_codec.h" // IWYU pragma: export
 #include "traffic_message_type.h"  // IWYU pragma: export
--- a/src/connection/frame_codec.cpp
+++ b/src/connection/frame_codec.cpp
@@ -47,44 +47,94 @@
   }
 };
 
+std::optional<frame_error>
+frame_decoder::take_lengths(std::string_view& bytes)
+{
+  const std::size_t taken = std::min(LENGTH_PREFIX_BYTES - lengths_.size(), bytes.size());
+  lengths_.append(bytes.substr(0, taken));
+  bytes.remove_prefix(taken);
+  if (lengths_.size() < LENGTH_PREFIX_BYTES) {
+    return std::nullopt;
+  }
+  const std::size_t rest_length = qFromBigEndian<quint32>(lengths_.data());
+  const std::size_t head_length = qFromBigEndian<quint32>(lengths_.data() + 4);
+  if (rest_length > limits_.frame_bytes || head_length > limits_.head_bytes) {
+    return frame_error{ frame_fault::too_large };
+  }
+  if (rest_length < 4 || head_length > rest_length - 4) {
+    return frame_error{ frame_fault::bad_length };
+  }
+  head_bytes_ = head_length;
+  payload_bytes_ = rest_length - 4 - head_length;
+  reserve_payload();
+  return std::nullopt;
+}
+
+void
+frame_decoder::reserve_payload()
+{
+  if (payload_bytes_ == 0) {
+    return;
+  }
+  if (budget_) {
+    next_.lease = std::make_shared<memory_lease>(budget_);
+    next_.is_payload_dropped = !next_.lease->try_resize(payload_bytes_, read_clocks().mono);
+  }
+  if (!next_.is_payload_dropped) {
+    next_.payload.reserve(payload_bytes_);
+  }
+}
+
 std::optional<frame_error>
 frame_decoder::feed(std::string_view bytes, std::vector<frame>& frames)
 {
-  buffered_.append(bytes);
-  std::size_t at = 0;
-  while (buffered_.size() - at >= LENGTH_PREFIX_BYTES) {
-    const std::size_t rest_length = qFromBigEndian<quint32>(buffered_.data() + at);
-    const std::size_t head_length = qFromBigEndian<quint32>(buffered_.data() + at + 4);
-    if (rest_length > limits_.frame_bytes || head_length > limits_.head_bytes) {
-      return frame_error{ frame_fault::too_large };
+  do {
+    if (lengths_.size() < LENGTH_PREFIX_BYTES) {
+      if (const std::optional<frame_error> error = take_lengths(bytes)) {
+        return error;
+      }
+      if (lengths_.size() < LENGTH_PREFIX_BYTES) {
+        break;
+      }
     }
-    if (rest_length < 4 || head_length > rest_length - 4) {
-      return frame_error{ frame_fault::bad_length };
+    const std::size_t head_taken = std::min(head_bytes_ - next_.head.size(), bytes.size());
+    next_.head.append(bytes.substr(0, head_taken));
+    bytes.remove_prefix(head_taken);
+    const std::size_t arrived = next_.payload.size() + skipped_bytes_;
+    const std::size_t payload_taken = std::min(payload_bytes_ - arrived, bytes.size());
+    if (next_.is_payload_dropped) {
+      skipped_bytes_ += payload_taken;
+    } else {
+      next_.payload.append(bytes.substr(0, payload_taken));
     }
-    if (buffered_.size() - at < 4 + rest_length) {
-      break;
+    bytes.remove_prefix(payload_taken);
+    if (next_.head.size() == head_bytes_ && arrived + payload_taken == payload_bytes_) {
+      frames.push_back(std::move(next_));
+      next_ = {};
+      lengths_.clear();
+      skipped_bytes_ = 0;
     }
-    frames.push_back(
-      { buffered_.substr(at + LENGTH_PREFIX_BYTES, head_length),
-        buffered_.substr(at + LENGTH_PREFIX_BYTES + head_length, rest_length - 4 - head_length) });
-    at += 4 + rest_length;
-  }
-  buffered_.erase(0, at);
+  } while (!bytes.empty());
   return std::nullopt;
 }
 
 std::string
-encode_frame(const nlohmann::json& head, std::string_view payload)
+encode_frame_front(const nlohmann::json& head, std::size_t payload_bytes)
 {
   std::string bytes(LENGTH_PREFIX_BYTES, '\0');
   nlohmann::json::to_msgpack(head, bytes);
   const std::size_t head_bytes = bytes.size() - LENGTH_PREFIX_BYTES;
-  bytes.append(payload);
-  qToBigEndian<quint32>(static_cast<quint32>(bytes.size() - 4), bytes.data());
+  qToBigEndian<quint32>(static_cast<quint32>(bytes.size() - 4 + payload_bytes), bytes.data());
   qToBigEndian<quint32>(static_cast<quint32>(head_bytes), bytes.data() + 4);
   return bytes;
 }
 
+std::string
+encode_frame(const nlohmann::json& head, std::string_view payload)
+{
+  return encode_frame_front(head, payload.size()).append(payload);
+}
+
 nlohmann::json
 decode_head(std::string_view head, std::optional<frame_error>& error)
 {
--- a/src/connection/frame_codec.h
+++ b/src/connection/frame_codec.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "process/process.h"
+#include "memory_budget_base.h"
 #include <nlohmann/json.hpp>
 
 namespace shallotfield {
@@ -59,6 +59,9 @@
 {
   std::string head; ///< A msgpack document.
   std::string payload;
+  std::shared_ptr<memory_lease> lease =
+    nullptr;                       ///< Memory of the payload; null if it is not counted.
+  bool is_payload_dropped = false; ///< There was no memory for the payload.
   bool operator==(const frame&) const = default;
 };
 
@@ -73,8 +76,10 @@
 class frame_decoder
 {
 public:
-  explicit frame_decoder(frame_limits limits)
+  /** Payloads count toward `budget`. One that doesn't fit is skipped. */
+  explicit frame_decoder(frame_limits limits, memory_budget_ptr budget = nullptr)
     : limits_(limits)
+    , budget_(std::move(budget))
   {
   }
 
@@ -86,8 +91,17 @@
   std::optional<frame_error> feed(std::string_view bytes, std::vector<frame>& frames);
 
 private:
+  /** Takes the length fields of the next frame. Returns an error if they are invalid. */
+  std::optional<frame_error> take_lengths(std::string_view& bytes);
+  void reserve_payload();
+
   frame_limits limits_;
-  std::string buffered_; ///< Start of an incomplete frame.
+  memory_budget_ptr budget_;
+  std::string lengths_;           ///< The length fields, as far as they have arrived.
+  std::size_t head_bytes_ = 0;    ///< Size of the head, once the length fields are complete.
+  std::size_t payload_bytes_ = 0; ///< The same of the payload.
+  std::size_t skipped_bytes_ = 0; ///< Bytes of a dropped payload that have arrived.
+  frame next_;                    ///< The frame, as far as it has arrived.
 };
 
 /**
@@ -97,6 +111,10 @@
 std::string
 encode_frame(const nlohmann::json& head, std::string_view payload);
 
+/** Encodes a frame without its payload, which has to follow. */
+std::string
+encode_frame_front(const nlohmann::json& head, std::size_t payload_bytes);
+
 /**
  * Decodes the head of a received frame. The nesting limit is checked before the recursive decoder
  * runs. Returns the decoded value. On failure, sets `error` and returns a value of type
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -89,6 +89,15 @@
   return headers;
 }
 
+/** Passes received data to a parser: `buffered`, which earlier data left, and then `bytes`. What
+ * the parser doesn't take is left in `buffered`. Returns false after an error. */
+template<class parser>
+bool
+put_received(parser& target,
+             std::string& buffered,
+             std::string_view bytes,
+             std::optional<http_fault>& error);
+
 /** Passes data to a parser. Returns the number of bytes consumed, or nothing after an error. */
 template<class parser>
 std::optional<std::size_t>
@@ -117,6 +126,30 @@
   return taken;
 }
 
+template<class parser>
+bool
+put_received(parser& target,
+             std::string& buffered,
+             std::string_view bytes,
+             std::optional<http_fault>& error)
+{
+  const bool was_empty = buffered.empty();
+  if (!was_empty) {
+    buffered.append(bytes);
+  }
+  const std::string_view input = was_empty ? bytes : std::string_view(buffered);
+  const std::optional<std::size_t> taken = put_bytes(target, input, error);
+  if (!taken) {
+    return false;
+  }
+  if (!was_empty && *taken == 0) {
+    return true;
+  }
+  // A connection that waits for further data doesn't keep the memory of earlier data.
+  buffered = std::string(input.substr(*taken));
+  return true;
+}
+
 /**
  * Returns whether a text contains the start of a status line, such as `HTTP/1.1 200`. A server that
  * breaks off a response within its head and goes on with the next one on the same connection
@@ -224,16 +257,44 @@
   return !buffered_.empty() || parser_->parser.got_some();
 }
 
+std::size_t
+request_reader::held_bytes() const
+{
+  return buffered_.size() + parser_->parser.get().body().size();
+}
+
+std::optional<std::uint64_t>
+request_reader::announced_bytes() const
+{
+  const boost::optional<std::uint64_t> length =
+    parser_->parser.is_header_done() ? parser_->parser.content_length() : boost::none;
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void
+request_reader::reserve_body()
+{
+  std::string& body = parser_->parser.get().body();
+  const std::uint64_t bytes = announced_bytes().value_or(body_bytes_max_);
+  if (body.capacity() < bytes) {
+    body.reserve(bytes);
+  }
+}
+
+void
+request_reader::clear()
+{
+  buffered_ = {};
+  restart();
+}
+
 std::optional<http_request>
 request_reader::feed(std::string_view bytes, std::optional<http_fault>& error)
 {
-  buffered_.append(bytes);
   auto& parser = parser_->parser;
-  const std::optional<std::size_t> taken = put_bytes(parser, buffered_, error);
-  if (!taken) {
+  if (!put_received(parser, buffered_, bytes, error)) {
     return std::nullopt;
   }
-  buffered_.erase(0, *taken);
   if (!parser.is_done()) {
     // The parser leaves an incomplete line, such as the size of a chunk, in the buffer.
     if (buffered_.size() > std::max<std::size_t>(head_bytes_max_, HTTP_HEAD_BYTES_MAX)) {
@@ -296,12 +357,9 @@
 response_piece
 response_reader::feed(std::string_view bytes, std::optional<http_fault>& error)
 {
-  buffered_.append(bytes);
-  const std::optional<std::size_t> taken = put_bytes(parser_->parser, buffered_, error);
-  if (!taken) {
+  if (!put_received(parser_->parser, buffered_, bytes, error)) {
     return {};
   }
-  buffered_.erase(0, *taken);
   // The parser leaves an incomplete line, such as the size of a chunk, in the buffer.
   if (!parser_->parser.is_done() && buffered_.size() > HTTP_HEAD_BYTES_MAX) {
     error = http_fault::head_too_large;
@@ -332,15 +390,20 @@
 
 std::string
 format_request(const request_head& head, std::string_view body)
+{
+  return format_request_head(head, body.size()).append(body);
+}
+
+std::string
+format_request_head(const request_head& head, std::size_t body_bytes)
 {
   std::string bytes = head.method + " " + head.target + " HTTP/1.1\r\n";
   append_headers(bytes, head.headers);
-  const bool has_length = !body.empty() || (head.method != "GET" && head.method != "HEAD");
+  const bool has_length = body_bytes > 0 || (head.method != "GET" && head.method != "HEAD");
   if (has_length) {
-    bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    bytes += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
   }
   bytes += "\r\n";
-  bytes.append(body);
   return bytes;
 }
 
--- a/src/connection/http_codec.h
+++ b/src/connection/http_codec.h
@@ -40,6 +40,21 @@
   /** Returns whether part of the next request was received. */
   bool has_partial_request() const;
 
+  /** Returns the bytes of that part that are held. */
+  std::size_t held_bytes() const;
+
+  /** Returns the length of its body if the head is complete and gives it. */
+  std::optional<std::uint64_t> announced_bytes() const;
+
+  /** Avoids copies of a large body while it grows. The memory is occupied as the body arrives. */
+  void reserve_body();
+
+  /** Keeps received data without processing it; the next call of feed() does. */
+  void hold(std::string_view bytes) { buffered_.append(bytes); }
+
+  /** Discards what was received. */
+  void clear();
+
   /** Replaces the limits. For a request that was received partially, only a higher limit takes
    * effect. */
   void set_limits(std::uint64_t body_bytes_max, std::uint32_t head_bytes_max);
@@ -101,6 +116,10 @@
 std::string
 format_request(const request_head& head, std::string_view body);
 
+/** Formats the head of such a request, which a body of `body_bytes` has to follow. */
+std::string
+format_request_head(const request_head& head, std::size_t body_bytes);
+
 /** Returns whether a response with this status may have a body. */
 bool
 may_have_body(unsigned status);
--- a/src/connection/peer_stream.cpp
+++ b/src/connection/peer_stream.cpp
@@ -7,9 +7,11 @@
 
 namespace shallotfield {
 
-peer_stream::peer_stream(boost::asio::io_context& context, std::size_t frame_bytes_max)
-  : stream_(std::make_shared<byte_stream>(context))
-  , decoder_(frame_limits{ TRAFFIC_HEAD_BYTES_MAX, frame_bytes_max })
+peer_stream::peer_stream(boost::asio::io_context& context,
+                         std::size_t frame_bytes_max,
+                         const memory_budget_ptr& budget)
+  : stream_(std::make_shared<byte_stream>(context, budget))
+  , decoder_(frame_limits{ TRAFFIC_HEAD_BYTES_MAX, frame_bytes_max }, budget)
 {
 }
 
@@ -69,6 +71,7 @@
       return;
     }
     std::optional<traffic_message> message;
+    const bool is_dropped = item.is_payload_dropped;
     leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(parsed, parse_traffic(std::move(item)));
@@ -80,7 +83,12 @@
     if (!message) {
       break;
     }
-    on_message(std::move(*message));
+    if (is_dropped) {
+      count(counter_id::peer_bodies_dropped);
+      on_body_dropped(std::move(*message));
+    } else {
+      on_message(std::move(*message));
+    }
   }
   if (error && !has_ended_) {
     refuse(*error);
--- a/src/connection/peer_stream_base.h
+++ b/src/connection/peer_stream_base.h
@@ -10,12 +10,17 @@
 {
 public:
   std::function<void(traffic_message&&)> on_message; ///< A message arrived.
-  std::function<void(stream_close_reason)> on_end;   ///< The link ended.
+  /** A message arrived for whose body there was no memory; it is without the body. */
+  std::function<void(traffic_message&&)> on_body_dropped;
+  std::function<void(stream_close_reason)> on_end; ///< The link ended.
 
   /**
    * Callbacks run on the thread of this context. Frames larger than frame_bytes_max are rejected.
+   * Bodies count toward `budget`.
    */
-  peer_stream(boost::asio::io_context& context, std::size_t frame_bytes_max);
+  peer_stream(boost::asio::io_context& context,
+              std::size_t frame_bytes_max,
+              const memory_budget_ptr& budget = nullptr);
 
   /** Takes ownership of an accepted socket and starts to read. */
   void accept(boost::asio::ip::tcp::socket&& socket);
@@ -23,7 +28,10 @@
   /** Opens a link. If it is not established within timeout_ms, on_end reports not_connected. */
   void connect(const endpoint& to, std::int64_t timeout_ms);
 
-  void send(const traffic_message& message) { stream_->send(encode_traffic(message)); }
+  void send(const traffic_message& message) { send_frame(encode_traffic_parts(message)); }
+
+  /** Sends an encoded message. */
+  void send_frame(const encoded_traffic& message) { stream_->send(message.front, message.payload); }
 
   /** Sends the next part of an encoded message. Other messages have to wait for its last part. */
   void send_part(std::string_view bytes) { stream_->send(bytes); }
--- a/src/connection/server_stream.cpp
+++ b/src/connection/server_stream.cpp
@@ -43,7 +43,7 @@
 }
 
 void
-server_stream::send(const request_head& head, std::string_view body)
+server_stream::send(const request_head& head, const shared_body& body)
 {
   if (!was_opened_) {
     open();
@@ -54,7 +54,7 @@
   lease_.release();
   received_bytes_ = 0;
   has_begun_ = false;
-  stream_->send(format_request(head, body));
+  stream_->send(format_request_head(head, body.size()), body);
 }
 
 void
@@ -116,11 +116,23 @@
   }
 }
 
+/** Reserves memory for a large body of known length, which is not occupied before it arrives. */
+static void
+reserve_body(server_response& response)
+{
+  const std::string* length = find_header(response.head.headers, "Content-Length");
+  if (length != nullptr) {
+    const std::size_t bytes = std::strtoull(length->c_str(), nullptr, 10);
+    response.body.reserve(std::min(bytes, RESPONSE_BYTES_MAX));
+  }
+}
+
 void
 server_stream::append_piece(response_piece&& piece)
 {
   if (piece.head) {
     response_.head = std::move(*piece.head);
+    reserve_body(response_);
   }
   response_.body += piece.body;
   const bool has_memory = lease_.add(piece.body.size());
--- a/src/connection/server_stream_base.h
+++ b/src/connection/server_stream_base.h
@@ -41,7 +41,7 @@
                 std::shared_ptr<response_memory> memory = nullptr);
 
   /** Sends a request. The previous request must have been answered. */
-  void send(const request_head& head, std::string_view body);
+  void send(const request_head& head, const shared_body& body);
 
   /** Closes the connection immediately. No callback follows. */
   void abort();
--- a/src/connection/traffic_message_codec.cpp
+++ b/src/connection/traffic_message_codec.cpp
@@ -70,7 +70,7 @@
 /** Builds the head of each type of message. */
 struct traffic_encoder
 {
-  std::string_view payload; ///< Payload of the message; empty if it has none.
+  shared_body payload; ///< Payload of the message; empty if it has none.
 
   json operator()(const call_open& message)
   {
@@ -149,13 +149,27 @@
   json operator()(const link_pong& message) { return { { "id", message.id } }; }
 };
 
-std::string
-encode_traffic(const traffic_message& message)
+encoded_traffic
+encode_traffic_parts(const traffic_message& message)
 {
   traffic_encoder encoder;
   json head = std::visit(encoder, message);
   head["kind"] = enum_name(kind_of(message));
-  return encode_frame(head, encoder.payload);
+  return { encode_frame_front(head, encoder.payload.size()), encoder.payload };
+}
+
+std::string
+encode_traffic(const traffic_message& message)
+{
+  encoded_traffic parts = encode_traffic_parts(message);
+  return std::move(parts.front.append(parts.payload.view()));
+}
+
+/** Takes the payload of a frame with the memory that it occupies. */
+static shared_body
+take_payload(frame& from)
+{
+  return { std::move(from.payload), from.lease ? std::move(*from.lease) : memory_lease() };
 }
 
 /** Reads a duration in ms. Fails with bad_message if it is longer than any that a peer sends, so
@@ -173,7 +187,7 @@
 
 /** Decodes a call_open message. */
 static leaf::result<traffic_message>
-parse_call_open(const json& head, call_id id, std::string&& payload)
+parse_call_open(const json& head, call_id id, shared_body&& payload)
 {
   call_open result;
   result.id = id;
@@ -213,7 +227,7 @@
 
 /** Decodes a call_full_response message. */
 static leaf::result<traffic_message>
-parse_call_full_response(const json& head, call_id id, std::string&& payload)
+parse_call_full_response(const json& head, call_id id, shared_body&& payload)
 {
   call_full_response result;
   result.id = id;
@@ -266,7 +280,7 @@
   BOOST_LEAF_AUTO(id, read_member<call_id>(head, "id"));
   switch (kind) {
     case traffic_kind::call_open:
-      return parse_call_open(head, id, std::move(from.payload));
+      return parse_call_open(head, id, take_payload(from));
     case traffic_kind::call_cancel:
       return traffic_message(call_cancel{ id });
     case traffic_kind::call_credit: {
@@ -290,7 +304,7 @@
       return traffic_message(key_reply{ id, claim });
     }
     case traffic_kind::call_full_response:
-      return parse_call_full_response(head, id, std::move(from.payload));
+      return parse_call_full_response(head, id, take_payload(from));
     case traffic_kind::link_ping:
       return traffic_message(link_ping{ id });
     case traffic_kind::link_pong:
--- a/src/connection/traffic_message_codec.h
+++ b/src/connection/traffic_message_codec.h
@@ -8,7 +8,19 @@
 
 namespace shallotfield {
 
-/** Returns the frame to send. */
+/** A frame to send: what comes before its payload, and the payload. */
+struct encoded_traffic
+{
+  std::string front;
+  shared_body payload;
+  std::size_t size() const { return front.size() + payload.size(); }
+};
+
+/** Returns the frame to send, without copying the body of the message. */
+encoded_traffic
+encode_traffic_parts(const traffic_message& message);
+
+/** Returns the frame to send as one text. */
 std::string
 encode_traffic(const traffic_message& message);
 
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -2,6 +2,7 @@
 // and that is answered by a response or a failure.
 #pragma once
 #include "http_type.h"
+#include "shared_body_type.h"
 #include "version/version.h"
 
 #include <cstdint>
@@ -191,7 +192,7 @@
    * servers; 0: unknown.
    */
   std::int64_t fleet_service_ms = 0;
-  std::string body;
+  shared_body body;
   bool operator==(const call_open&) const = default;
 };
 
@@ -290,7 +291,7 @@
   call_id id = 0;
   response_head head; ///< Status and headers.
   load_report load;   ///< Load of the server.
-  std::string body;
+  shared_body body;
   std::int64_t residence_ms = 0;    ///< Time from the arrival of the call to this message.
   std::int64_t service_time_ms = 0; ///< Service time: the part of residence_ms on a slot.
   bool operator==(const call_full_response&) const = default;
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -34,9 +34,14 @@
   suspects_tried,     ///< Trials of rejected requests at the local backend server.
   suspects_cleared,   ///< Suspected digests of which the local backend server completed a request.
   suspects_stored,    ///< Calls to the platform's store about rejected requests.
+  requests_without_memory, ///< Requests of callers refused since there was no memory for them.
+  callers_gave_way, ///< Callers' connections that stalled and returned their memory to others.
+  callers_closed,   ///< Callers' connections closed since there were too many.
+  responses_without_memory, ///< Responses of the server for which there was no memory.
+  peer_bodies_dropped,      ///< Bodies from other proxies for which there was no memory.
 };
 
-inline constexpr enum_table<counter_id, 27> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 32> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -64,8 +69,13 @@
   { counter_id::suspects_tried, "suspects_tried" },
   { counter_id::suspects_cleared, "suspects_cleared" },
   { counter_id::suspects_stored, "suspects_stored" },
+  { counter_id::requests_without_memory, "requests_without_memory" },
+  { counter_id::callers_gave_way, "callers_gave_way" },
+  { counter_id::callers_closed, "callers_closed" },
+  { counter_id::responses_without_memory, "responses_without_memory" },
+  { counter_id::peer_bodies_dropped, "peer_bodies_dropped" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::suspects_stored));
+static_assert(is_complete(COUNTER_ROWS, counter_id::peer_bodies_dropped));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -10,6 +10,9 @@
  * limit, as a divisor. */
 static constexpr std::size_t REQUEST_MEMORY_DIVISOR = 8;
 
+/** Number of connections that are examined for one that may be closed. */
+static constexpr std::size_t CALLERS_EXAMINED = 32;
+
 caller_stream_limits
 proxy_traffic::limits_of_requests() const
 {
@@ -22,18 +25,27 @@
       std::max(limits.body_bytes_max,
                static_cast<std::int64_t>(options_.memory_bytes / REQUEST_MEMORY_DIVISOR));
   }
-  return { static_cast<std::uint32_t>(limits.head_bytes_max),
-           static_cast<std::uint64_t>(limits.body_bytes_max) };
+  // A body that could never be held is refused as too large, since it would not help to try again.
+  const std::uint64_t body_bytes_max = std::min<std::uint64_t>(
+    static_cast<std::uint64_t>(limits.body_bytes_max), budget_->largest_lease_bytes());
+  return { static_cast<std::uint32_t>(limits.head_bytes_max), body_bytes_max };
 }
 
 void
 proxy_traffic::add_caller(boost::asio::ip::tcp::socket&& socket)
 {
+  if (!make_room_for_caller()) {
+    return; // The socket is closed with its object.
+  }
   const caller_id id = next_id_++;
-  const caller_stream_ptr stream = std::make_shared<caller_stream>(context_, limits_of_requests());
-  callers_[id].stream = stream;
-  stream->on_request = [this, id](request_number number, http_request&& request) {
-    handle_request(id, number, std::move(request));
+  const caller_stream_ptr stream =
+    std::make_shared<caller_stream>(context_, limits_of_requests(), budget_, refusals_);
+  caller& added = callers_[id];
+  added.stream = stream;
+  added.place = caller_order_.insert(caller_order_.end(), id);
+  stream->on_request = [this,
+                        id](request_number number, http_request&& request, memory_lease&& lease) {
+    handle_request(id, number, std::move(request), std::move(lease));
   };
   stream->on_disconnected = [this, id] { remove_caller(id); };
   stream->on_activity = [this, id] { reset_caller_timeout(id); };
@@ -41,6 +53,36 @@
   reset_caller_timeout(id);
 }
 
+bool
+proxy_traffic::make_room_for_caller()
+{
+  if (callers_.size() < callers_max_) {
+    return true;
+  }
+  refusals_->report("callers",
+                    { { "fault", "too_many_connections" }, { "open", callers_.size() } },
+                    read_clocks().mono);
+  auto next = caller_order_.begin();
+  for (std::size_t i = 0; i < CALLERS_EXAMINED && callers_.size() >= callers_max_; ++i) {
+    if (next == caller_order_.end()) {
+      break;
+    }
+    const caller_id id = *next++;
+    const caller_stream_ptr stream = callers_.at(id).stream;
+    // A connection whose requests are being served is spared, even if its caller reads nothing.
+    if (stream->open_requests() == 0) {
+      count(counter_id::callers_closed);
+      stream->abort();
+      remove_caller(id);
+    }
+  }
+  const bool has_room = callers_.size() < callers_max_;
+  if (!has_room) {
+    count(counter_id::callers_closed);
+  }
+  return has_room;
+}
+
 void
 proxy_traffic::reset_caller_timeout(caller_id id)
 {
@@ -49,16 +91,19 @@
     return;
   }
   caller& item = found->second;
+  caller_order_.splice(caller_order_.end(), caller_order_, item.place);
   const bool has_partial_request = item.stream->has_partial_request();
   if (item.timeout) {
     timers_.cancel(*item.timeout);
     item.timeout.reset();
   }
-  if (!has_partial_request && !item.stream->is_idle()) {
+  const bool is_refused = item.stream->is_closing() && item.stream->open_requests() == 0;
+  if (!has_partial_request && !item.stream->is_idle() && !is_refused) {
     return;
   }
   const caller_limits limits = table_ ? table_->limits() : caller_limits{};
-  const std::int64_t delay = has_partial_request ? limits.head_timeout_ms : limits.idle_timeout_ms;
+  const std::int64_t delay =
+    has_partial_request || is_refused ? limits.head_timeout_ms : limits.idle_timeout_ms;
   item.timeout = timers_.schedule(delay, [this, id, has_partial_request] {
     const auto entry = callers_.find(id);
     if (entry == callers_.end()) {
@@ -66,7 +111,14 @@
     }
     entry->second.timeout.reset();
     const caller_stream_ptr stream = entry->second.stream;
-    if (has_partial_request) {
+    const bool has_last_response = stream->is_closing() && stream->open_requests() == 0;
+    if (has_last_response && stream->unsent_bytes() > 0) {
+      reset_caller_timeout(id);
+    } else if (has_last_response) {
+      // The caller has got its last response and doesn't close the connection.
+      stream->abort();
+      remove_caller(id);
+    } else if (has_partial_request) {
       stream->refuse_slow_request();
     } else {
       stream->close_when_idle();
@@ -83,6 +135,7 @@
   }
   caller gone = std::move(found->second);
   callers_.erase(found);
+  caller_order_.erase(gone.place);
   if (gone.timeout) {
     timers_.cancel(*gone.timeout);
   }
@@ -93,7 +146,10 @@
 }
 
 void
-proxy_traffic::handle_request(caller_id id, request_number number, http_request&& request)
+proxy_traffic::handle_request(caller_id id,
+                              request_number number,
+                              http_request&& request,
+                              memory_lease&& lease)
 {
   const exchange_id new_exchange_id = next_id_++;
   exchange& added = exchanges_[new_exchange_id];
@@ -105,7 +161,7 @@
   added.state.wait_ms = fields.wait_ms;
   added.state.account_key = fields.account_key;
   added.state.head = std::move(request.head);
-  added.state.body = std::move(request.body);
+  added.state.body = shared_body(std::move(request.body), std::move(lease));
   added.state.table = table_;
   if (table_ && table_->has_accounts()) {
     platform::remove_account_fields(added.state.head);
@@ -174,7 +230,7 @@
 }
 
 void
-proxy_traffic::respond(exchange_id id, const response_head& head, std::string_view body)
+proxy_traffic::respond(exchange_id id, const response_head& head, const shared_body& body)
 {
   const exchange& done = exchanges_.at(id);
   const auto owner = callers_.find(done.caller);
--- a/src/process/proxy_egress.cpp
+++ b/src/process/proxy_egress.cpp
@@ -20,7 +20,7 @@
   const auto position = std::find_if(session.held_frames.begin() + 1,
                                      session.held_frames.end(),
                                      [](const held_frame& item) { return item.is_paced; });
-  session.held_frames.insert(position, { 0, encode_traffic(message), false });
+  session.held_frames.insert(position, { 0, encode_traffic_parts(message), false });
 }
 
 void
@@ -30,7 +30,7 @@
   if (found == sessions_.end()) {
     return;
   }
-  std::string bytes = encode_traffic(message);
+  encoded_traffic bytes = encode_traffic_parts(message);
   bulk_pacer_.add(id, bytes.size());
   found->second.held_frames.push_back({ message.id, std::move(bytes), true });
   if (!is_bulk_scheduled_) {
@@ -79,9 +79,14 @@
 proxy_traffic::advance_held_frames(peer_session& session, std::size_t bytes)
 {
   while (bytes > 0 && !session.held_frames.empty()) {
-    const std::string& frame = session.held_frames.front().bytes;
+    const encoded_traffic& frame = session.held_frames.front().bytes;
     const std::size_t count = std::min(bytes, frame.size() - session.sent_bytes);
-    session.stream->send_part(std::string_view(frame).substr(session.sent_bytes, count));
+    const std::string_view front =
+      std::string_view(frame.front).substr(std::min(session.sent_bytes, frame.front.size()), count);
+    session.stream->send_part(front);
+    const std::size_t body_at =
+      std::max(session.sent_bytes, frame.front.size()) - frame.front.size();
+    session.stream->send_part(frame.payload.view().substr(body_at, count - front.size()));
     session.sent_bytes += count;
     bytes -= count;
     if (session.sent_bytes < frame.size()) {
@@ -90,7 +95,7 @@
     session.held_frames.pop_front();
     session.sent_bytes = 0;
     while (!session.held_frames.empty() && !session.held_frames.front().is_paced) {
-      session.stream->send_part(session.held_frames.front().bytes);
+      session.stream->send_frame(session.held_frames.front().bytes);
       session.held_frames.pop_front();
     }
   }
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -16,6 +16,9 @@
  * slow responds within this time. */
 static constexpr std::int64_t PONG_TIMEOUT_MS = 1500;
 
+/** Time after which a call may be sent again for whose body there was no memory. */
+static constexpr std::int64_t NO_MEMORY_RETRY_AFTER_MS = 1000;
+
 /** Maximum size of a frame on a link. The largest request and the largest response fit into it. */
 static constexpr std::size_t LINK_FRAME_BYTES_MAX = 80U << 20U;
 
@@ -27,7 +30,10 @@
   peer_link& link = links_[name];
   if (!link.stream) {
     link.node = node;
-    link.stream = std::make_shared<peer_stream>(context_, LINK_FRAME_BYTES_MAX);
+    link.stream = std::make_shared<peer_stream>(context_, LINK_FRAME_BYTES_MAX, budget_);
+    link.stream->on_body_dropped = [this, name](traffic_message&& message) {
+      fail_dropped_response(name, message);
+    };
     link.stream->on_message = [this, name](traffic_message&& message) {
       handle_link_message(name, std::move(message));
     };
@@ -126,6 +132,36 @@
     message);
 }
 
+void
+proxy_traffic::fail_dropped_response(const std::string& name, const traffic_message& message)
+{
+  const auto* response = std::get_if<call_full_response>(&message);
+  if (response != nullptr) {
+    handle_link_message(name,
+                        call_failed{ response->id,
+                                     failure_reason::response_truncated,
+                                     outcome::unknown,
+                                     0,
+                                     response->load,
+                                     response->residence_ms });
+  }
+}
+
+void
+proxy_traffic::refuse_dropped_call(session_id id, const traffic_message& message)
+{
+  const auto* call = std::get_if<call_open>(&message);
+  if (call != nullptr) {
+    send_to_session(id,
+                    call_failed{ call->id,
+                                 failure_reason::queue_full,
+                                 outcome::not_run,
+                                 NO_MEMORY_RETRY_AFTER_MS,
+                                 current_load(),
+                                 0 });
+  }
+}
+
 void
 proxy_traffic::handle_link_end(const std::string& name, stream_close_reason why)
 {
@@ -154,7 +190,10 @@
 {
   const session_id id = next_id_++;
   peer_session& session = sessions_[id];
-  session.stream = std::make_shared<peer_stream>(context_, LINK_FRAME_BYTES_MAX);
+  session.stream = std::make_shared<peer_stream>(context_, LINK_FRAME_BYTES_MAX, budget_);
+  session.stream->on_body_dropped = [this, id](traffic_message&& message) {
+    refuse_dropped_call(id, message);
+  };
   session.stream->on_message = [this, id](traffic_message&& message) {
     handle_session_message(id, std::move(message));
   };
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -208,36 +208,40 @@
     fail_server_request(id, failure_reason::response_truncated, outcome::unknown, 0);
     return;
   }
-  const load_report report = current_load();
   const mono_ms now = read_clocks().mono;
+  memory_lease lease(budget_);
+  if (!lease.try_resize(response.body.size(), now)) {
+    count(counter_id::responses_without_memory);
+    fail_server_request(id, failure_reason::response_truncated, outcome::unknown, 0);
+    return;
+  }
+  const shared_body body(std::move(response.body), std::move(lease));
+  const load_report report = current_load();
   const std::int64_t residence_ms = now - request.arrived_at;
   const std::int64_t service_time_ms = now - request.started_at;
   const bool is_bulk = request.call.kind == work_class::bulk;
   const request_origin origin = request.origin;
-  std::visit(overloaded{
-               [&](const local_origin& from) {
-                 end_server_request(id);
-                 raise(from.exchange,
-                       attempt_responded{ from.attempt,
-                                          std::move(response.head),
-                                          std::move(response.body),
-                                          report,
-                                          residence_ms,
-                                          service_time_ms });
-               },
-               [&](const peer_origin& from) {
-                 const call_full_response message{ from.call,    std::move(response.head),
-                                                   report,       std::move(response.body),
-                                                   residence_ms, service_time_ms };
-                 if (is_bulk) {
-                   send_bulk_to_session(from.session, message);
-                 } else {
-                   send_to_session(from.session, message);
-                 }
-                 end_server_request(id);
-               },
-             },
-             origin);
+  std::visit(
+    overloaded{
+      [&](const local_origin& from) {
+        end_server_request(id);
+        raise(
+          from.exchange,
+          attempt_responded{
+            from.attempt, std::move(response.head), body, report, residence_ms, service_time_ms });
+      },
+      [&](const peer_origin& from) {
+        const call_full_response message{ from.call,    std::move(response.head), report, body,
+                                          residence_ms, service_time_ms };
+        if (is_bulk) {
+          send_bulk_to_session(from.session, message);
+        } else {
+          send_to_session(from.session, message);
+        }
+        end_server_request(id);
+      },
+    },
+    origin);
 }
 
 void
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/leaf/error.hpp>
+#include <sys/resource.h>
 
 namespace asio = boost::asio;
 namespace leaf = boost::leaf;
@@ -22,6 +23,37 @@
  * The limit may be exceeded up to twofold. */
 static constexpr std::size_t RESPONSE_MEMORY_DIVISOR = 8;
 
+/** Part of the memory of the process that requests and complete responses may use. The rest is for
+ * incomplete responses of the server (up to a quarter) and for the process itself. */
+static constexpr std::size_t BUDGET_NUMERATOR = 7;
+static constexpr std::size_t BUDGET_DENOMINATOR = 16;
+
+/** Part of the descriptors that callers' connections may use; the rest is for links to other
+ * proxies and connections to the server. */
+static constexpr std::size_t CALLERS_NUMERATOR = 2;
+static constexpr std::size_t CALLERS_DENOMINATOR = 3;
+
+/** Descriptors that the process needs besides, such as listening ports and files. */
+static constexpr std::size_t OWN_DESCRIPTORS = 32;
+
+/** Memory that a connection without a request occupies; limits their number where the descriptors
+ * are not limited. */
+static constexpr std::size_t IDLE_CONNECTION_BYTES = 16U << 10U;
+
+/** Returns the maximum number of callers' connections. */
+static std::size_t
+max_callers(std::size_t memory_bytes)
+{
+  const std::size_t by_memory = memory_bytes / IDLE_CONNECTION_BYTES;
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+    return by_memory;
+  }
+  const std::size_t share = descriptors.rlim_cur / CALLERS_DENOMINATOR * CALLERS_NUMERATOR;
+  const std::size_t by_descriptors = share > 2 * OWN_DESCRIPTORS ? share - OWN_DESCRIPTORS : share;
+  return std::max<std::size_t>(std::min(by_memory, by_descriptors), 1);
+}
+
 proxy_traffic::proxy_traffic(const proxy_settings& options,
                              retry_limits limits,
                              const node_beacon& self)
@@ -30,6 +62,10 @@
   , callers_acceptor_(context_)
   , peers_acceptor_(context_)
   , timers_(context_)
+  , budget_(
+      std::make_shared<memory_budget>(options.memory_bytes / BUDGET_DENOMINATOR * BUDGET_NUMERATOR))
+  , refusals_(std::make_shared<refused_input_log>())
+  , callers_max_(max_callers(options.memory_bytes))
   , response_memory_(
       std::make_shared<response_memory>(options.memory_bytes / RESPONSE_MEMORY_DIVISOR))
   , bulk_pacer_(options.link_bytes_per_ms)
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/result.hpp>
 #include <deque>
+#include <list>
 #include <thread>
 
 namespace shallotfield {
@@ -155,7 +156,8 @@
     caller_stream_ptr stream;                        ///< The connection.
     std::map<request_number, exchange_id> exchanges; ///< Requests without a response yet.
     std::optional<timer_queue::timer_id>
-      timeout; ///< Timer for a slow request or an idle connection.
+      timeout;                                ///< Timer for a slow request or an idle connection.
+    std::list<std::uint64_t>::iterator place; ///< Its place in caller_order_.
   };
 
   /** A link that this proxy opened to another proxy. */
@@ -173,10 +175,10 @@
   /** A frame that waits until the link of the VM can carry it. */
   struct held_frame
   {
-    call_id call = 0;  ///< Call to which the frame belongs.
-    std::string bytes; ///< The frame.
-    bool is_paced{};   ///< Whether bulk_pacer decides when it is sent. Otherwise it only waits for
-                       ///< the end of the frame before it.
+    call_id call = 0;      ///< Call to which the frame belongs.
+    encoded_traffic bytes; ///< The frame.
+    bool is_paced{}; ///< Whether bulk_pacer decides when it is sent. Otherwise it only waits for
+                     ///< the end of the frame before it.
   };
 
   /** A link that another proxy opened. */
@@ -231,14 +233,20 @@
   /** Restarts the timeout of a connection that is idle or on which a request is arriving. */
   void reset_caller_timeout(caller_id id);
   void remove_caller(caller_id id);
-  void handle_request(caller_id id, request_number number, http_request&& request);
+  /** Closes connections that have been inactive for longest if there are too many. Returns whether
+   * there is room for another one. */
+  bool make_room_for_caller();
+  void handle_request(caller_id id,
+                      request_number number,
+                      http_request&& request,
+                      memory_lease&& lease);
   void start_exchange(exchange_id id);
   void raise(exchange_id id, const exchange_event& event);
   void perform(exchange_id id, const exchange_effect& effect);
   void send(exchange_id id, const send_attempt& effect);
   void cancel(exchange_id id, const cancel_exchange_attempt& effect);
   void end_exchange(exchange_id id);
-  void respond(exchange_id id, const response_head& head, std::string_view body);
+  void respond(exchange_id id, const response_head& head, const shared_body& body);
   call_open make_call(const exchange& from, const send_attempt& effect) const;
 
   // proxy_links.cpp: links between proxies.
@@ -252,6 +260,9 @@
   void check_link(const std::string& name);
   void add_session(boost::asio::ip::tcp::socket&& socket);
   void handle_session_message(session_id id, traffic_message&& message);
+  /** Ends the call of a message for whose body there was no memory. */
+  void refuse_dropped_call(session_id id, const traffic_message& message);
+  void fail_dropped_response(const std::string& name, const traffic_message& message);
   /** Passes the calls that have arrived on a link to the slot queue. */
   void enqueue_pending_calls(session_id id);
   void end_session(session_id id);
@@ -313,7 +324,11 @@
   timer_queue timers_;                                  ///< Timeouts of connections and requests.
   proxy_state proxy_;                                   ///< State that all callers' requests share.
   route_table_ptr table_;                               ///< Configuration for new requests.
+  memory_budget_ptr budget_;                            ///< Memory of requests and responses.
+  std::shared_ptr<refused_input_log> refusals_;         ///< Limits log lines about callers.
   std::unordered_map<caller_id, caller> callers_;       ///< Callers' connections.
+  std::list<caller_id> caller_order_;                   ///< The least recently active one first.
+  std::size_t callers_max_ = 0;                         ///< Maximum number of them.
   std::unordered_map<exchange_id, exchange> exchanges_; ///< Open requests of callers.
   std::map<std::string, peer_link> links_;              ///< Links by node and work class.
   std::unordered_map<session_id, peer_session> sessions_; ///< Links that other proxies opened.
--- a/src/process/server_thread.cpp
+++ b/src/process/server_thread.cpp
@@ -187,7 +187,8 @@
 std::string
 server_thread::fingerprint(const call_open& request) const
 {
-  return sha256_hex(request.head.method + " " + request.head.target + "\n" + request.body);
+  return sha256_hex(request.head.method + " " + request.head.target + "\n" +
+                    std::string(request.body.view()));
 }
 
 void
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -30,7 +30,7 @@
 {
   exchange_attempt_index attempt = 0; ///< The attempt that was answered.
   response_head head;                 ///< Status and headers.
-  std::string body;                   ///< The complete body.
+  shared_body body;                   ///< The complete body.
   load_report load;                   ///< Load of the server.
   std::int64_t residence_ms = 0;      ///< Time between arrival and response at the server's node.
   std::int64_t service_time_ms = 0; ///< The part of residence_ms in which the request held a slot.
@@ -85,7 +85,7 @@
 struct send_response
 {
   response_head head; ///< Status and headers.
-  std::string body;   ///< The complete body.
+  shared_body body;   ///< The complete body.
 };
 
 /** Effect: send the caller an error response in place of the server's response. */
@@ -123,7 +123,7 @@
 {
   std::string request_id;                 ///< Request id that the caller sent.
   request_head head;                      ///< Head of the request.
-  std::string body;                       ///< Body of the request.
+  shared_body body;                       ///< Body of the request.
   std::optional<std::int64_t> wait_ms;    ///< Time that the caller waits; empty if it set no limit.
   std::optional<std::string> account_key; ///< Key of the caller's client account, if it sent one.
   route_table_ptr table;                  ///< Configuration, fixed when the request began.
