Keep client accounts to their quotas over all proxies

Nothing knew the quota of an account: all that its callers asked was admitted at each proxy. Each proxy now reports the use of accounts to two ledgers of its zone, which exchange their sums and answer with the part of each account's requests that is admitted.

--- a/src/connection/connection.h
+++ b/src/connection/connection.h
@@ -16,6 +16,7 @@
 #include "http_type.h"             // IWYU pragma: export
 #include "memory_budget_base.h"    // IWYU pragma: export
 #include "peer_stream_base.h"      // IWYU pragma: export
+#include "quota_codec.h"           // IWYU pragma: export
 #include "response_memory.h"       // IWYU pragma: export
 #include "server_stream_base.h"    // IWYU pragma: export
 #include "shared_body_type.h"      // IWYU pragma: export
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -39,9 +39,13 @@
   callers_closed,   ///< Callers' connections closed since there were too many.
   responses_without_memory, ///< Responses of the server for which there was no memory.
   peer_bodies_dropped,      ///< Bodies from other proxies for which there was no memory.
+  quota_asked,              ///< Requests of client accounts with a quota.
+  quota_returned,           ///< Admitted ones of them that never ran, and no longer count.
+  quota_refused,            ///< Requests refused because their client account used up its quota.
+  quota_datagrams,          ///< Datagrams about quotas sent to other proxies.
 };
 
-inline constexpr enum_table<counter_id, 32> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 36> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -74,8 +78,12 @@
   { counter_id::callers_closed, "callers_closed" },
   { counter_id::responses_without_memory, "responses_without_memory" },
   { counter_id::peer_bodies_dropped, "peer_bodies_dropped" },
+  { counter_id::quota_asked, "quota_asked" },
+  { counter_id::quota_returned, "quota_returned" },
+  { counter_id::quota_refused, "quota_refused" },
+  { counter_id::quota_datagrams, "quota_datagrams" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::peer_bodies_dropped));
+static_assert(is_complete(COUNTER_ROWS, counter_id::quota_datagrams));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -22,6 +22,11 @@
 #include "pause_monitor.h"           // IWYU pragma: export
 #include "peer_table_base.h"         // IWYU pragma: export
 #include "proxy_settings.h"          // IWYU pragma: export
+#include "quota_control.h"           // IWYU pragma: export
+#include "quota_fleet.h"             // IWYU pragma: export
+#include "quota_ledger.h"            // IWYU pragma: export
+#include "quota_limits_table.h"      // IWYU pragma: export
+#include "quota_type.h"              // IWYU pragma: export
 #include "refused_input_log.h"       // IWYU pragma: export
 #include "server_watch_base.h"       // IWYU pragma: export
 #include "settings_func.h"           // IWYU pragma: export
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -6,6 +6,9 @@
 
 namespace shallotfield {
 
+/** Interval at which the control thread gets the counts of client accounts. */
+static constexpr std::int64_t QUOTA_COUNT_INTERVAL_MS = 100;
+
 /** Part of the memory of the process that one request may use until the first configuration sets a
  * limit, as a divisor. */
 static constexpr std::size_t REQUEST_MEMORY_DIVISOR = 8;
@@ -204,6 +207,20 @@
   for (const exchange_effect& effect : effects) {
     perform(id, effect);
   }
+  schedule_quota_counts();
+}
+
+void
+proxy_traffic::schedule_quota_counts()
+{
+  if (is_count_scheduled_ || !proxy_.quotas.has_counts()) {
+    return;
+  }
+  is_count_scheduled_ = true;
+  timers_.schedule(QUOTA_COUNT_INTERVAL_MS, [this] {
+    is_count_scheduled_ = false;
+    on_quota_used(proxy_.quotas.take_counts());
+  });
 }
 
 void
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -89,6 +89,9 @@
       self_)
   , started_at_(read_clocks().mono)
   , last_tick_at_(started_at_)
+  , quotas_(options_.node_id,
+            options_.zone,
+            { bounds.quota_window_ms, bounds.quota_overage, bounds.quota_slack })
   , crash_reminder_random_(self_.boot_id)
   , no_live_peer_since_(started_at_)
 {
@@ -118,6 +121,10 @@
     QMetaObject::invokeMethod(
       &context_, [this, report] { record_trial(report); }, Qt::QueuedConnection);
   };
+  traffic_.on_quota_used = [this](const std::vector<account_count>& counts) {
+    QMetaObject::invokeMethod(
+      &context_, [this, counts] { record_quota_use(counts); }, Qt::QueuedConnection);
+  };
   traffic_.on_request_acquitted = [this](const request_digest& request) {
     QMetaObject::invokeMethod(
       &context_, [this, request] { record_acquittal(request); }, Qt::QueuedConnection);
@@ -191,6 +198,7 @@
   remind_of_crashes(now);
   review_trial(review_tick{ count_other_servers() }, now);
   write_due_suspects(now);
+  advance_quotas(now);
   log_dropped_lines(now);
   advance_discovery();
   probe_server();
@@ -343,6 +351,8 @@
     if (has_crash_records(bytes)) {
       have_suspects_changed =
         receive_crash_records(bytes, datagram.senderAddress()) || have_suspects_changed;
+    } else if (has_quota_message(bytes)) {
+      receive_quota_message(bytes, datagram.senderAddress());
     } else {
       has_changed = receive_beacons(bytes) || has_changed;
     }
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -115,6 +115,15 @@
   /** Handles the crash records of a peer. Returns whether they changed what is known. */
   bool receive_crash_records(std::string_view datagram, const QHostAddress& sender);
 
+  // proxy_quota.cpp: quotas of client accounts, which hold over the whole fleet.
+  /** Takes the quotas of the configuration in force. */
+  void apply_quotas();
+  /** Adds requests of client accounts that the traffic thread has counted. */
+  void record_quota_use(const std::vector<account_count>& counts);
+  void advance_quotas(mono_ms now);
+  void perform(const quota_effect& effect);
+  void receive_quota_message(std::string_view datagram, const QHostAddress& sender);
+
   // proxy_suspect_store.cpp: rejected requests in the store, which outlive all processes.
   /** Schedules a call that stores a request, or removes it if it is no longer rejected. */
   void schedule_suspect_write(const request_digest& request);
@@ -208,6 +217,7 @@
   std::map<request_digest, suspect_write> suspect_writes_; ///< Calls that are due or under way.
   std::uint64_t suspect_changes_ = 0;                      ///< Number of the latest change.
   std::size_t suspects_restored_ = 0;        ///< Rejected requests read from the store.
+  quota_control quotas_;                     ///< Use of the client accounts in the fleet.
   random_source crash_reminder_random_;      ///< Chooses the peers to remind.
   mono_ms next_crash_reminder_at_ = 0;       ///< When peers are next reminded.
   mono_ms next_dropped_lines_report_at_ = 0; ///< When dropped log lines are next reported.
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -211,6 +211,12 @@
   });
 }
 
+void
+proxy_traffic::set_quota_limits(quota_limits_ptr limits)
+{
+  post([this, limits = std::move(limits)] { proxy_.quotas.set_limits(limits); });
+}
+
 void
 proxy_traffic::set_suspects(crash_view_ptr suspects)
 {
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -70,6 +70,8 @@
   std::function<void(const withdraw_crash&)> on_crash_withdrawn;
   std::function<void(const report_trial&)> on_suspect_tried;
   std::function<void(const request_digest&)> on_request_acquitted;
+  /** Called on the traffic thread with the requests of client accounts since the previous call. */
+  std::function<void(const std::vector<account_count>&)> on_quota_used;
 
   /** Creates the traffic thread's state without starting the thread. `limits` are the limits on
    * retries, and `self` is this node's beacon. */
@@ -100,6 +102,9 @@
    * server and may no longer run are refused. */
   void set_suspects(crash_view_ptr suspects);
 
+  /** Replaces the limits on client accounts for new requests. */
+  void set_quota_limits(quota_limits_ptr limits);
+
   /** Refuses new requests, of callers and to the local server, from `refuses_from` on if their
    * deadline is after `shutdown_at`, the time at which open requests will be ended. */
   void plan_shutdown(mono_ms refuses_from, mono_ms shutdown_at);
@@ -247,6 +252,8 @@
   void cancel(exchange_id id, const cancel_exchange_attempt& effect);
   void end_exchange(exchange_id id);
   void respond(exchange_id id, const response_head& head, const shared_body& body);
+  /** Passes the counts of client accounts on to the control thread after a short time. */
+  void schedule_quota_counts();
   call_open make_call(const exchange& from, const send_attempt& effect) const;
 
   // proxy_links.cpp: links between proxies.
@@ -337,6 +344,7 @@
   std::shared_ptr<response_memory> response_memory_; ///< Limits the responses that are arriving.
   bulk_pacer bulk_pacer_;                 ///< Decides when responses to downloads are sent.
   bool is_draining_ = false;              ///< Callers' connections are being closed.
+  bool is_count_scheduled_ = false;       ///< Counts of client accounts are passed on soon.
   bool is_bulk_scheduled_ = false;        ///< A call of send_due_bulk() is scheduled.
   slot_queue slots_;                      ///< Decides which of them occupy the slots of the server.
   server_status server_;                  ///< Status of the local server.
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -68,6 +68,8 @@
   /** Finds the client account of the caller's key. Returns false if the request needs a key and has
    * none, or an unknown one. */
   bool identify_account();
+  /** Counts the request against the quota of its account. Returns false after it was refused. */
+  bool is_within_quota();
   /** Chooses one of the rule's services by weight. */
   service_id choose_service();
   /** Chooses a server that was not tried yet and sends the request to it. Returns false if there is
@@ -114,6 +116,9 @@
   void refuse(unsigned status, failure_reason reason, std::int64_t retry_after_ms);
   /** Records the time after which a server may have capacity. The caller gets the shortest one. */
   void record_retry_after(std::int64_t wait_ms);
+  /** Returns a retry-after time with a jitter, which keeps callers that were refused at the same
+   * time from retrying at the same time. */
+  std::int64_t spread(std::int64_t retry_after_ms);
   /** Ends the request after its last attempt failed, or if there is no server for it. */
   void fail_request(failure_reason reason);
   /** Logs the outcome and marks the request as done. */
@@ -150,6 +155,9 @@
     refuse(STATUS_UNAVAILABLE, failure_reason::draining, RETRY_AFTER_DEFAULT_MS);
     return;
   }
+  if (!is_within_quota()) {
+    return;
+  }
   exchange_.service = choose_service();
   proxy_.retry_budgets[exchange_.service].record_request(now_);
   const suspect_decision decision = decide_on_suspect();
@@ -184,6 +192,23 @@
   return exchange_.account != nullptr;
 }
 
+bool
+exchange_handler::is_within_quota()
+{
+  if (exchange_.account == nullptr) {
+    return true;
+  }
+  const quota_decision decision = proxy_.quotas.decide(*exchange_.account, now_, proxy_.random);
+  const auto* refused = std::get_if<quota_refused>(&decision);
+  if (refused != nullptr) {
+    count(counter_id::quota_refused);
+    refuse(STATUS_TOO_MANY, failure_reason::over_quota, spread(refused->retry_after_ms));
+    return false;
+  }
+  exchange_.counts_against_quota = true;
+  return true;
+}
+
 service_id
 exchange_handler::choose_service()
 {
@@ -465,13 +490,17 @@
     refuse(STATUS_BAD_GATEWAY, reason, 0);
     return;
   }
-  // No attempt has run, so the caller may retry. The jitter keeps callers that were refused at the
-  // same time from retrying at the same time.
+  // No attempt has run, so the caller may retry.
   const std::int64_t wait =
     exchange_.retry_after_ms > 0 ? exchange_.retry_after_ms : RETRY_AFTER_DEFAULT_MS;
-  std::uniform_real_distribution<double> spread(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER);
-  refuse(
-    STATUS_UNAVAILABLE, reason, std::llround(static_cast<double>(wait) * spread(proxy_.random)));
+  refuse(STATUS_UNAVAILABLE, reason, spread(wait));
+}
+
+std::int64_t
+exchange_handler::spread(std::int64_t retry_after_ms)
+{
+  std::uniform_real_distribution<double> factor(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER);
+  return std::llround(static_cast<double>(retry_after_ms) * factor(proxy_.random));
 }
 
 void
@@ -530,6 +559,9 @@
   const bool is_not_run = status == STATUS_UNAVAILABLE || status == STATUS_NOT_FOUND ||
                           status == STATUS_UNAUTHORIZED || status == STATUS_TOO_MANY;
   count(is_not_run ? counter_id::requests_not_run : counter_id::requests_unknown);
+  if (is_not_run && exchange_.counts_against_quota) {
+    proxy_.quotas.give_back(*exchange_.account);
+  }
   finish("refused", enum_name(reason), status);
   effects_.emplace_back(send_error_response{ status, reason, retry_after_ms });
 }
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -7,6 +7,7 @@
 #include "congestion_policy.h"
 #include "crash_policy.h"
 #include "fleet_retry_policy.h"
+#include "quota_policy.h"
 #include "server_choice_policy.h"
 #include "table/failure_response_table.h"
 
@@ -139,6 +140,7 @@
   std::int64_t retry_after_ms = 0;    ///< Shortest retry-after time received; 0 if none.
   bool found_full_server = false;     ///< Whether a server was skipped because it is full.
   bool may_have_run = false;          ///< Whether an attempt that failed may have run.
+  bool counts_against_quota = false;  ///< It counts against the quota of its account.
   bool is_on_trial = false;           ///< It was sent to the server of its trial only.
   bool is_done = false;               ///< Whether the request is over.
   /** Digests of the request; set once some request is suspected of crashing servers. */
@@ -169,6 +171,7 @@
   /** Average service time in the fleet, by rule. */
   std::unordered_map<std::string, double> fleet_service_ms;
   retry_limits limits; ///< Retry budget of the fleet.
+  quota_gate quotas;   ///< Keeps the client accounts to their quotas.
   /** The requests that were at work when servers crashed. */
   crash_view_ptr suspects = std::make_shared<const crash_view>();
   std::optional<planned_shutdown> shutdown; ///< Set once the process is told to end.
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -11,6 +11,7 @@
 #include "key_policy.h"                   // IWYU pragma: export
 #include "key_table_base.h"               // IWYU pragma: export
 #include "pick_policy.h"                  // IWYU pragma: export
+#include "quota_policy.h"                 // IWYU pragma: export
 #include "retry_policy.h"                 // IWYU pragma: export
 #include "route_policy.h"                 // IWYU pragma: export
 #include "server_choice_policy.h"         // IWYU pragma: export
