--- a/tests/request/quota_test.cpp
+++ b/tests/request/quota_test.cpp
@@ -418,9 +418,29 @@
            [rate](mono_ms t) { return rate * USUAL * (t >= 1000 && t < 9000 ? 7.5 : 1); } };
 }
 
+/** Plays a hot account, large and small, with events, and checks that no window exceeds the quota.
+ */
+void
+play_failure(std::size_t count,
+             std::uint64_t seed,
+             const std::function<void(fake_fleet&)>& prepare,
+             double served_part)
+{
+  fake_fleet fleet(count, seed);
+  fleet.loads = { hot_account(357), hot_account(5) };
+  fleet.loads[1].account.name = "small";
+  prepare(fleet);
+  fleet.run(SETTLED_AT_MS + 16'000);
+  check_no_overrun(fleet, count, seed);
+  check_served(fleet, served_part, count, seed);
+}
+
+/** Time in the middle of the burst. */
+constexpr mono_ms IN_BURST_MS = SETTLED_AT_MS + 3000;
+
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(quota_load)
+BOOST_AUTO_TEST_SUITE(quota_calm)
 
 // Load: each account asks for 90 % of its rate. None is refused in calm.
 BOOST_AUTO_TEST_CASE(accounts_below_their_rate_are_not_refused)
@@ -459,6 +479,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_overload)
+
 // Load: one account, large or smaller than the number of proxies, at 7.5 times its usual.
 BOOST_AUTO_TEST_CASE(a_hot_account_is_kept_to_its_quota)
 {
@@ -492,6 +516,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_lowered)
+
 // Load: a lower limit comes into force in the middle of a burst, at one proxy after the other.
 BOOST_AUTO_TEST_CASE(a_limit_is_lowered_in_the_middle_of_a_burst)
 {
@@ -520,28 +548,9 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Each case brings one failure about while an account is hot. No window may exceed the quota.
-BOOST_AUTO_TEST_SUITE(quota_failure)
-
-/** Plays a hot account, large and small, with events, and checks that no window exceeds the quota.
- */
-static void
-play_failure(std::size_t count,
-             std::uint64_t seed,
-             const std::function<void(fake_fleet&)>& prepare,
-             double served_part)
-{
-  fake_fleet fleet(count, seed);
-  fleet.loads = { hot_account(357), hot_account(5) };
-  fleet.loads[1].account.name = "small";
-  prepare(fleet);
-  fleet.run(SETTLED_AT_MS + 16'000);
-  check_no_overrun(fleet, count, seed);
-  check_served(fleet, served_part, count, seed);
-}
-
-/** Time in the middle of the burst. */
-constexpr mono_ms IN_BURST_MS = SETTLED_AT_MS + 3000;
+// From here on, each case brings one failure about while an account is hot. No window may exceed
+// the quota.
+BOOST_AUTO_TEST_SUITE(quota_datagrams)
 
 BOOST_AUTO_TEST_CASE(datagrams_are_lost_and_delayed)
 {
@@ -557,6 +566,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_restart)
+
 BOOST_AUTO_TEST_CASE(a_third_of_the_proxies_restart)
 {
   for_all([](std::size_t count, std::uint64_t seed) {
@@ -599,6 +612,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_pause)
+
 // The ledgers are among the proxies that are paused. They wake with old limits and old reports.
 BOOST_AUTO_TEST_CASE(proxies_are_paused_and_wake)
 {
@@ -619,6 +636,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_partition)
+
 // Neither side admits the whole quota.
 BOOST_AUTO_TEST_CASE(regions_are_cut_off_from_each_other)
 {
@@ -659,6 +680,10 @@
   });
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_gate_cases)
+
 BOOST_AUTO_TEST_CASE(an_old_answer_does_not_prolong_a_permission)
 {
   quota_limits_table table;
