Divide the slots of a server between client accounts, and serve calls of running requests first

An account that sends several times its usual took the slots that the others wait for, and a burst of new requests kept the calls of running requests waiting, which fails their parents. The queue in front of a server's slots now orders requests within a priority by the share band of their account, which grows with its recent use of slots over its part by the rate of its quota; the last requests of accounts beyond their part are refused at once when others take their place. Where callers have accounts, requests without one are calls of servers: they go first and wait until their deadline. Requests without accounts are served as before.

--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -72,13 +72,18 @@
     fail_server_request(id, failure_reason::queue_full, outcome::not_run, delivery_ms);
     return id;
   }
+  // Where callers have accounts, a request without one is a call of a server. The configuration may
+  // be older than that of the proxy of the caller, so that an account may be unknown here.
+  const bool has_accounts = table_ && table_->has_accounts();
   const slot_arrival arrival{ id,
                               request.call.work,
                               request.call.priority,
                               now + request.call.objective_ms - delivery_ms,
                               request.deadline - delivery_ms,
                               request.call.fleet_service_ms,
-                              request.call.customer };
+                              request.call.customer,
+                              has_accounts ? table_->share_weight_of(request.call.customer) : 1,
+                              has_accounts && request.call.customer.empty() };
   request.timeout = timers_.schedule(request.call.timeout_ms + DEADLINE_GRACE_MS,
                                      [this, id] { expire_server_request(id); });
   raise_slot_event(arrival);
--- a/src/request/account_share_policy.cpp
+++ b/src/request/account_share_policy.cpp
@@ -10,13 +10,16 @@
  * enough for an account that was over its share to be served as before some seconds later. */
 static constexpr double USE_LIFETIME_MS = 2000;
 
-/** Multiple of its part up to which an account counts as within its share, since requests come
- * unevenly. */
-static constexpr double SHARE_TOLERANCE = 1.25;
+/** Fraction of its part up to which an account has the first band. With a higher one, an account
+ * far beyond its part would still take enough slots ahead of the others to be felt by them. */
+static constexpr double SHARE_TOLERANCE = 0.5;
+
+/** Ratio of the uses at which two neighbouring bands begin. */
+static constexpr double BAND_FACTOR = 1.5;
 
 /** Number of requests that an account may have in addition to its part. With many accounts, the
  * part of most of them is less than one request. */
-static constexpr double ALLOWED_REQUESTS = 2;
+static constexpr double ALLOWED_REQUESTS = 3;
 
 /** Slot time below which the use of an account is forgotten. */
 static constexpr double FORGOTTEN_USE_MS = 1;
@@ -57,8 +60,8 @@
   if (beyond <= tolerated || tolerated <= 0) {
     return 0;
   }
-  const double doublings = std::floor(std::log2(beyond / tolerated));
-  return std::min(static_cast<std::size_t>(doublings) + 1, SHARE_BANDS - 1);
+  const double steps = std::floor(std::log(beyond / tolerated) / std::log(BAND_FACTOR));
+  return std::min(static_cast<std::size_t>(steps) + 1, SHARE_BANDS - 1);
 }
 
 void
--- a/src/request/account_share_policy.h
+++ b/src/request/account_share_policy.h
@@ -9,17 +9,17 @@
 namespace shallotfield {
 
 /** Number of share bands; the first is for requests of accounts that keep to their share. */
-inline constexpr std::size_t SHARE_BANDS = 5;
+inline constexpr std::size_t SHARE_BANDS = 8;
 
 /**
  * The use of one server by each account, and the bands that follow from it.
  *
  * The use of an account is the slot time of its requests, of which those in the past count less and
  * less. Requests that wait or run count with their expected time, so that each further request of a
- * burst adds to the use. The use is compared with the account's part of all use by weight: within
- * it, a request has band 0, and each doubling beyond it adds one. The band only decides the order,
- * so that slots which other accounts leave free are used. An account with no other open request has
- * band 0.
+ * burst adds to the use. The use is compared with the account's part of all use by weight: well
+ * within it, a request has band 0, and each growth by half adds one. The band only decides the
+ * order, so that slots which other accounts leave free are used. An account with no other open
+ * request has band 0.
  */
 class account_shares
 {
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -1,6 +1,7 @@
 // Public header of the request layer, which makes the decisions about single requests: routing,
 // server selection, admission, retries and idempotency keys.
 #pragma once
+#include "account_share_policy.h"         // IWYU pragma: export
 #include "admission_policy.h"             // IWYU pragma: export
 #include "bulk_pacing_policy.h"           // IWYU pragma: export
 #include "call_policy.h"                  // IWYU pragma: export
--- a/src/request/slot_policy.cpp
+++ b/src/request/slot_policy.cpp
@@ -1,6 +1,8 @@
 // Implements the queue in front of a backend server's slots.
 #include "slot_policy.h"
 
+#include <limits>
+
 namespace shallotfield {
 
 /** Service time that is assumed until the first request has finished. */
@@ -66,8 +68,19 @@
          static_cast<double>(request.objective_at);
 }
 
+slot_queue::queue_key
+slot_queue::queue_key_of(const slot_arrival& request, mono_ms now) const
+{
+  const std::size_t band =
+    request.account.empty()
+      ? 0
+      : shares_.band_of(
+          request.account, request.account_weight, expected_ms(request.work), slots_, now);
+  return { !request.is_call, request.priority, band, request.objective_at, request.id };
+}
+
 double
-slot_queue::expected_wait_ms(const slot_arrival& request, bool counts_as_timely, mono_ms now) const
+slot_queue::expected_wait_ms(const queue_key& position, bool counts_as_timely, mono_ms now) const
 {
   if (slots_ == 0) {
     return 0;
@@ -78,67 +91,137 @@
     const double elapsed = static_cast<double>(now - other.started_at);
     work_ms += std::max(expected - elapsed, expected * REMAINING_FRACTION_MIN);
   }
-  const queue_key position = queue_key_of(request);
   for (const queue_key& item : queue_) {
-    const slot_arrival& other = waiting_.at(std::get<slot_ticket>(item));
-    if (other.priority > request.priority) {
+    if (position.outranks(item)) {
       break;
     }
-    // Requests of a higher priority start first. Within a priority, a request that can meet its
-    // objective waits for the earlier ones that can. Any other request waits for all that can,
-    // earlier or later, and for the earlier ones that cannot.
-    const bool is_equal = other.priority == request.priority;
+    // Requests of a higher rank start first. Within a rank, a request that can meet its objective
+    // waits for the earlier ones that can. Any other request waits for all that can, earlier or
+    // later, and for the earlier ones that cannot.
+    const slot_arrival& other = waiting_.at(item.id);
     const bool is_ahead =
-      !is_equal || (counts_as_timely ? item < position && can_meet_objective(other, now)
-                                     : item < position || can_meet_objective(other, now));
+      item.outranks(position) ||
+      (counts_as_timely ? item < position && can_meet_objective(other, now)
+                        : item < position || (item != position && can_meet_objective(other, now)));
     work_ms += is_ahead ? expected_ms(other.work) : 0;
   }
   return work_ms / slots_;
 }
 
+double
+slot_queue::backlog_ms(mono_ms now) const
+{
+  if (running_.size() < slots_ && queue_.empty()) {
+    return 0;
+  }
+  return expected_wait_ms({ true,
+                            std::numeric_limits<std::int64_t>::max(),
+                            SHARE_BANDS,
+                            std::numeric_limits<mono_ms>::max(),
+                            std::numeric_limits<slot_ticket>::max() },
+                          false,
+                          now);
+}
+
+std::optional<double>
+slot_queue::acceptable_wait_ms(const slot_arrival& request,
+                               const queue_key& position,
+                               mono_ms now) const
+{
+  const double expected = expected_ms(request.work);
+  const auto start = static_cast<double>(now);
+  const double wait = expected_wait_ms(position, true, now);
+  if (start + wait + expected <=
+      static_cast<double>(std::min(request.objective_at, request.deadline))) {
+    return wait;
+  }
+  // The request would miss its objective or deadline. Check whether it can still run behind the
+  // requests that will meet theirs.
+  const double late_wait = expected_wait_ms(position, false, now);
+  return start + late_wait <= static_cast<double>(latest_start_of(request, now))
+           ? std::optional<double>(late_wait)
+           : std::nullopt;
+}
+
 void
-slot_queue::refuse(slot_ticket id, failure_reason reason, double retry_after_ms)
+slot_queue::refuse(const queue_key& request, failure_reason reason, double retry_after_ms)
 {
-  effects_.emplace_back(slot_refuse{
-    id, reason, static_cast<std::int64_t>(std::max(retry_after_ms, RETRY_AFTER_MIN_MS)) });
+  effects_.emplace_back(
+    slot_refuse{ request.id,
+                 reason,
+                 static_cast<std::int64_t>(std::max(retry_after_ms, RETRY_AFTER_MIN_MS)),
+                 request.band });
 }
 
 void
 slot_queue::on(const slot_arrival& event, mono_ms now)
 {
+  const queue_key position = queue_key_of(event, now);
   if (!takes_work_) {
-    refuse(event.id, failure_reason::draining, 0);
+    refuse(position, failure_reason::draining, 0);
     return;
   }
   const bool has_slot = running_.size() < slots_ && queue_.empty();
+  if (!has_slot && !acceptable_wait_ms(event, position, now)) {
+    refuse(position, failure_reason::queue_full, expected_wait_ms(position, false, now));
+    return;
+  }
+  const double expected = expected_ms(event.work);
+  const bool has_share =
+    !event.account.empty() && shares_.open(event.account, event.account_weight, expected, now);
+  waiting_.emplace(
+    event.id,
+    waiting_request{ event, latest_start_of(event, now), position, has_share ? expected : 0 });
+  queue_.insert(position);
   if (!has_slot) {
-    const double expected = expected_ms(event.work);
-    double wait = expected_wait_ms(event, true, now);
-    double limit = static_cast<double>(std::min(event.objective_at, event.deadline));
-    if (static_cast<double>(now) + wait + expected > limit) {
-      // The request would miss its objective or deadline. Check whether it can still run behind the
-      // requests that will meet theirs.
-      wait = expected_wait_ms(event, false, now);
-      limit = static_cast<double>(latest_start_of(event, now)) + expected;
-    }
-    if (static_cast<double>(now) + wait + expected > limit) {
-      refuse(event.id, failure_reason::queue_full, wait);
+    refuse_displaced(now);
+  }
+}
+
+void
+slot_queue::refuse_displaced(mono_ms now)
+{
+  while (!queue_.empty()) {
+    const queue_key last = *queue_.rbegin();
+    const auto request = waiting_.find(last.id);
+    if (last.band == 0 || acceptable_wait_ms(request->second, last, now)) {
       return;
     }
+    refuse(last, failure_reason::queue_full, expected_wait_ms(last, false, now));
+    remove_waiting(request, now);
+  }
+}
+
+void
+slot_queue::remove_waiting(std::map<slot_ticket, waiting_request>::iterator request, mono_ms now)
+{
+  const waiting_request& removed = request->second;
+  if (removed.share_ms > 0) {
+    shares_.close(removed.account, removed.share_ms, 0, now);
   }
-  waiting_.emplace(event.id, waiting_request{ event, latest_start_of(event, now) });
-  queue_.insert(queue_key_of(event));
+  queue_.erase(removed.key);
+  waiting_.erase(request);
+}
+
+void
+slot_queue::remove_running(std::map<slot_ticket, running_request>::iterator request, mono_ms now)
+{
+  const running_request& removed = request->second;
+  if (removed.share_ms > 0) {
+    shares_.close(
+      removed.account, removed.share_ms, static_cast<double>(now - removed.started_at), now);
+  }
+  running_.erase(request);
 }
 
 mono_ms
 slot_queue::latest_start_of(const slot_arrival& request, mono_ms now) const
 {
-  const double expected = expected_ms(request.work);
-  const auto objective = static_cast<double>(std::max<mono_ms>(request.objective_at - now, 0));
   // Service times vary, so a request may still finish if half of its expected service time is left.
-  const double latest = std::min(static_cast<double>(now) + WAIT_FACTOR_MAX * objective,
-                                 static_cast<double>(request.deadline) - expected / 2);
-  return static_cast<mono_ms>(latest);
+  const double last = static_cast<double>(request.deadline) - expected_ms(request.work) / 2;
+  const auto objective = static_cast<double>(std::max<mono_ms>(request.objective_at - now, 0));
+  const double patience = static_cast<double>(now) + WAIT_FACTOR_MAX * objective;
+  return static_cast<mono_ms>(request.is_call ? last : std::min(patience, last));
 }
 
 void
@@ -151,7 +234,7 @@
   if (event.has_complete_response) {
     record_service_time(found->second, static_cast<double>(now - found->second.started_at));
   }
-  running_.erase(found);
+  remove_running(found, now);
 }
 
 void
@@ -191,22 +274,24 @@
   if (taken >= typical_ms) {
     record_service_time(found->second, taken);
   }
-  running_.erase(found);
+  remove_running(found, now);
 }
 
 void
-slot_queue::on(const slot_cancelled& event, mono_ms /*now*/)
+slot_queue::on(const slot_cancelled& event, mono_ms now)
 {
   const auto found = waiting_.find(event.id);
   if (found != waiting_.end()) {
-    queue_.erase(queue_key_of(found->second));
-    waiting_.erase(found);
+    remove_waiting(found, now);
+  }
+  const auto running = running_.find(event.id);
+  if (running != running_.end()) {
+    remove_running(running, now);
   }
-  running_.erase(event.id);
 }
 
 void
-slot_queue::on(const slot_server_changed& event, mono_ms /*now*/)
+slot_queue::on(const slot_server_changed& event, mono_ms now)
 {
   if (event.is_new) {
     slowness_ = 1;
@@ -217,11 +302,11 @@
   slots_ = event.slots;
   takes_work_ = event.takes_work;
   if (!takes_work_) {
-    for (const queue_key& position : queue_) {
-      refuse(std::get<slot_ticket>(position), failure_reason::draining, 0);
+    while (!queue_.empty()) {
+      const queue_key first = *queue_.begin();
+      refuse(first, failure_reason::draining, 0);
+      remove_waiting(waiting_.find(first.id), now);
     }
-    queue_.clear();
-    waiting_.clear();
   }
 }
 
@@ -238,10 +323,10 @@
   // to that time.
   const auto first = queue_.begin();
   for (auto position = first; position != queue_.end(); ++position) {
-    if (std::get<0>(*position) != std::get<0>(*first)) {
+    if (first->outranks(*position)) {
       break;
     }
-    if (can_meet_objective(waiting_.at(std::get<slot_ticket>(*position)), now)) {
+    if (can_meet_objective(waiting_.at(position->id), now)) {
       return position;
     }
   }
@@ -252,24 +337,24 @@
 slot_queue::dispatch(mono_ms now)
 {
   for (auto position = queue_.begin(); position != queue_.end();) {
-    const slot_ticket id = std::get<slot_ticket>(*position);
-    const waiting_request& request = waiting_.at(id);
-    if (now > request.latest_start_at) {
-      refuse(id, failure_reason::too_late, expected_wait_ms(request, false, now));
-      waiting_.erase(id);
-      position = queue_.erase(position);
-    } else {
-      ++position;
+    const queue_key item = *position++;
+    const auto request = waiting_.find(item.id);
+    if (now > request->second.latest_start_at) {
+      refuse(item, failure_reason::too_late, expected_wait_ms(item, false, now));
+      remove_waiting(request, now);
     }
   }
   while (running_.size() < slots_ && !queue_.empty()) {
     const auto position = next_to_start(now);
-    const slot_ticket id = std::get<slot_ticket>(*position);
-    const slot_arrival& request = waiting_.at(id);
-    running_.emplace(id, running_request{ request.work, now, request.fleet_service_ms });
-    waiting_.erase(id);
+    const auto found = waiting_.find(position->id);
+    const waiting_request& request = found->second;
+    running_.emplace(
+      request.id,
+      running_request{
+        request.work, now, request.fleet_service_ms, request.account, request.share_ms });
+    effects_.emplace_back(slot_start{ request.id });
     queue_.erase(position);
-    effects_.emplace_back(slot_start{ id });
+    waiting_.erase(found);
   }
 }
 
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -37,6 +37,16 @@
     for (const std::string& key : account.keys) {
       by_key_digest_.emplace(digest_of_key(key), &account);
     }
+    if (account.rate_per_s > 0) {
+      share_weights_.emplace(account.name, account.rate_per_s);
+    }
+  }
+  if (!share_weights_.empty()) {
+    double total = 0;
+    for (const auto& [name, weight] : share_weights_) {
+      total += weight;
+    }
+    average_share_weight_ = total / static_cast<double>(share_weights_.size());
   }
 }
 
@@ -68,6 +78,13 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+double
+route_table::share_weight_of(const std::string& account) const
+{
+  const auto found = share_weights_.find(account);
+  return found == share_weights_.end() ? average_share_weight_ : found->second;
+}
+
 const client_account*
 route_table::find_account(std::string_view key) const
 {
--- a/src/version/route_table_type.h
+++ b/src/version/route_table_type.h
@@ -155,6 +155,10 @@
    * the key is unknown. */
   const client_account* find_account(std::string_view key) const;
 
+  /** Returns the part of the slots that is due to an account relative to other accounts: the rate
+   * of its quota, or the average rate of the others if it has none or is unknown. Above 0. */
+  double share_weight_of(const std::string& account) const;
+
 private:
   route_document document_; ///< Owns the rules and services to which the maps refer.
   std::unordered_map<std::string, std::unordered_map<std::string, const route_rule*>>
@@ -163,6 +167,8 @@
   /** Accounts by the digest of a key, so that the time of a search doesn't depend on how much of a
    * key was guessed. */
   std::unordered_map<std::string, const client_account*> by_key_digest_;
+  std::unordered_map<std::string, double> share_weights_; ///< Rate of the quota, by account.
+  double average_share_weight_ = 1;                       ///< Average of these rates.
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
