Send bodies of uploads one at a time, once the proxy of the server grants them

In a burst of uploads more bytes came to the VMs of a service than their links carry. The calls of running requests to that service, and the responses to its own calls, waited behind the bodies until they timed out unrefused, and their parents held the slots of two further services meanwhile. The proxy of the caller now offers the body; that of the server grants one at a time and refuses at once, before any byte of the body, what can't arrive and run within its objective. Uploads use the link for large messages. Offers are call_credit messages, which older proxies ignore; their uploads are sent without a grant. Refusals at a server's proxy are logged with their inputs.

--- a/src/connection/traffic_message_codec.cpp
+++ b/src/connection/traffic_message_codec.cpp
@@ -98,7 +98,12 @@
   json operator()(const call_cancel& message) { return { { "id", message.id } }; }
   json operator()(const call_credit& message)
   {
-    return { { "id", message.id }, { "bytes", message.bytes } };
+    json head = { { "id", message.id }, { "bytes", message.bytes } };
+    if (!message.work.empty()) {
+      head["work"] = message.work;
+      head["objective"] = message.objective_ms;
+    }
+    return head;
   }
   json operator()(const call_response_head& message)
   {
@@ -285,7 +290,12 @@
       return traffic_message(call_cancel{ id });
     case traffic_kind::call_credit: {
       BOOST_LEAF_AUTO(bytes, read_member<std::int64_t>(head, "bytes"));
-      return traffic_message(call_credit{ id, bytes });
+      call_credit credit{ id, bytes, {}, 0 };
+      if (head.contains("work")) {
+        BOOST_LEAF_ASSIGN(credit.work, read_member<std::string>(head, "work"));
+        BOOST_LEAF_ASSIGN(credit.objective_ms, read_duration(head, "objective", INT64_MIN));
+      }
+      return traffic_message(std::move(credit));
     }
     case traffic_kind::call_response_head:
       return parse_call_response_head(head, id);
--- a/src/connection/traffic_message_type.h
+++ b/src/connection/traffic_message_type.h
@@ -203,11 +203,18 @@
   bool operator==(const call_cancel&) const = default;
 };
 
-/** Extends the flow control window of a response. */
+/**
+ * Extends the flow control window of a response, on links of control_thread nodes. On links between
+ * proxies it is about the body of an upload. The caller's proxy offers a body with it before the
+ * call_open; the server's proxy grants it with the same size, or says with 0 that it will later. A
+ * proxy that does not know offers ignores them, and gets the call without a grant.
+ */
 struct call_credit
 {
   call_id id = 0;
-  std::int64_t bytes = 0; ///< Bytes that may be sent in addition.
+  std::int64_t bytes = 0;        ///< Bytes that may be sent in addition, or that are offered.
+  std::string work;              ///< In offers: kind of work, as in the call_open.
+  std::int64_t objective_ms = 0; ///< In offers: time left to meet the latency objective.
   bool operator==(const call_credit&) const = default;
 };
 
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -15,6 +15,8 @@
   hedges,             ///< Further attempts sent while an earlier one was still open.
   admitted,           ///< Requests that got a slot of the local backend server.
   refused_at_server,  ///< Requests to the local backend server that admission rejected.
+  refused_over_share, ///< Those whose client account was beyond its share of the slots.
+  uploads_refused,    ///< Uploads that were refused before their body was sent here.
   key_repeats,        ///< Requests answered with the stored response of their idempotency key.
   versions_applied,   ///< Configuration versions that came into force.
   updates_refused,    ///< Configuration updates and snapshots that were rejected.
@@ -45,7 +47,7 @@
   quota_datagrams,          ///< Datagrams about quotas sent to other proxies.
 };
 
-inline constexpr enum_table<counter_id, 36> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 38> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -54,6 +56,8 @@
   { counter_id::hedges, "hedges" },
   { counter_id::admitted, "admitted" },
   { counter_id::refused_at_server, "refused_at_server" },
+  { counter_id::refused_over_share, "refused_over_share" },
+  { counter_id::uploads_refused, "uploads_refused" },
   { counter_id::key_repeats, "key_repeats" },
   { counter_id::versions_applied, "versions_applied" },
   { counter_id::updates_refused, "updates_refused" },
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -16,6 +16,10 @@
 /** Number of connections that are examined for one that may be closed. */
 static constexpr std::size_t CALLERS_EXAMINED = 32;
 
+/** Time without a reply after which the body of an upload is sent although it was not granted,
+ * because the other proxy may not know offers. It covers several round trips between regions. */
+static constexpr std::int64_t OFFER_REPLY_TIMEOUT_MS = 300;
+
 caller_stream_limits
 proxy_traffic::limits_of_requests() const
 {
@@ -322,15 +326,85 @@
                       });
     return;
   }
+  const std::string name = link_name_of(effect.node, from.state.rule->kind);
   peer_link& link = get_or_open_link(effect.node, from.state.rule->kind);
   call.id = link.next_call++;
   link.calls[call.id] = { id, effect.attempt };
-  const std::string name = effect.node + (call.kind == work_class::bulk ? "/bulk" : "/short");
   from.attempt_targets.emplace_back(peer_target{ name, call.id });
-  link.stream->send(call);
+  if (from.state.rule->kind == request_kind::upload && !call.body.empty()) {
+    offer_body(name, call.id, id, effect);
+  } else {
+    link.stream->send(call);
+  }
   schedule_link_check(name);
 }
 
+void
+proxy_traffic::offer_body(const std::string& link,
+                          call_id call,
+                          exchange_id id,
+                          const send_attempt& effect)
+{
+  const exchange_state& state = exchanges_.at(id).state;
+  const mono_ms now = read_clocks().mono;
+  body_offer& offer = links_.at(link).offers[call];
+  offer.attempt = effect;
+  offer.offered_at = now;
+  offer.fallback =
+    timers_.schedule(OFFER_REPLY_TIMEOUT_MS, [this, link, call, bytes = state.body.size()] {
+      handle_grant(link, { call, static_cast<std::int64_t>(bytes), {}, 0 });
+    });
+  links_.at(link).stream->send(call_credit{ call,
+                                            static_cast<std::int64_t>(state.body.size()),
+                                            state.rule->name,
+                                            state.started_at + state.rule->objective_ms - now });
+}
+
+std::optional<proxy_traffic::body_offer>
+proxy_traffic::take_offer(peer_link& link, call_id call)
+{
+  const auto found = link.offers.find(call);
+  if (found == link.offers.end()) {
+    return std::nullopt;
+  }
+  const body_offer offer = found->second;
+  if (offer.fallback) {
+    timers_.cancel(*offer.fallback);
+  }
+  link.offers.erase(found);
+  return offer;
+}
+
+void
+proxy_traffic::handle_grant(const std::string& link, const call_credit& grant)
+{
+  const auto found = links_.find(link);
+  if (found == links_.end()) {
+    return;
+  }
+  const auto target = found->second.calls.find(grant.id);
+  if (grant.bytes <= 0) {
+    const auto offer = found->second.offers.find(grant.id);
+    if (offer != found->second.offers.end() && offer->second.fallback) {
+      timers_.cancel(*offer->second.fallback);
+      offer->second.fallback.reset();
+    }
+    return;
+  }
+  std::optional<body_offer> offer = take_offer(found->second, grant.id);
+  if (!offer || target == found->second.calls.end()) {
+    return;
+  }
+  const auto from = exchanges_.find(target->second.first);
+  if (from == exchanges_.end()) {
+    return;
+  }
+  offer->attempt.timeout_ms -= read_clocks().mono - offer->offered_at;
+  call_open call = make_call(from->second, offer->attempt);
+  call.id = grant.id;
+  found->second.stream->send(call);
+}
+
 void
 proxy_traffic::cancel(exchange_id id, const cancel_exchange_attempt& effect)
 {
@@ -343,6 +417,7 @@
                [&](const peer_target& target) {
                  const auto link = links_.find(target.link);
                  if (link != links_.end() && link->second.calls.erase(target.call) > 0) {
+                   take_offer(link->second, target.call);
                    link->second.stream->send(call_cancel{ target.call });
                  }
                },
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -22,11 +22,18 @@
 /** Maximum size of a frame on a link. The largest request and the largest response fit into it. */
 static constexpr std::size_t LINK_FRAME_BYTES_MAX = 80U << 20U;
 
+std::string
+proxy_traffic::link_name_of(const node_id& node, request_kind kind)
+{
+  // Large messages use a separate link, so that short ones do not have to wait for them.
+  const bool is_large = kind == request_kind::download || kind == request_kind::upload;
+  return node + (is_large ? "/bulk" : "/short");
+}
+
 proxy_traffic::peer_link&
 proxy_traffic::get_or_open_link(const node_id& node, request_kind kind)
 {
-  // Downloads use a separate link, so that short responses do not have to wait for large ones.
-  const std::string name = node + (kind == request_kind::download ? "/bulk" : "/short");
+  const std::string name = link_name_of(node, kind);
   peer_link& link = links_[name];
   if (!link.stream) {
     link.node = node;
@@ -121,12 +128,14 @@
           return;
         }
         const auto [exchange, attempt] = call->second;
+        take_offer(link, item.id);
         link.calls.erase(call);
         raise(
           exchange,
           attempt_failed{
             attempt, item.reason, item.result, item.retry_after_ms, item.load, item.residence_ms });
       },
+      [&](const call_credit& item) { handle_grant(name, item); },
       [](const auto&) {}, // A pong needs no handling: its bytes already show that the link works.
     },
     message);
@@ -171,10 +180,17 @@
   }
   const peer_link ended = std::move(found->second);
   links_.erase(found);
-  const bool was_sent = why != stream_close_reason::not_connected;
+  const bool was_connected = why != stream_close_reason::not_connected;
   write_log(log_event::link_closed,
             { { "link", name }, { "why", enum_name(why) }, { "open_calls", ended.calls.size() } });
+  for (const auto& [call, offer] : ended.offers) {
+    if (offer.fallback) {
+      timers_.cancel(*offer.fallback);
+    }
+  }
   for (const auto& [call, target] : ended.calls) {
+    // A call whose body was only offered can't have run.
+    const bool was_sent = was_connected && !ended.offers.contains(call);
     raise(target.first,
           attempt_failed{ target.second,
                           was_sent ? failure_reason::link_lost : failure_reason::unreachable,
@@ -211,6 +227,7 @@
   peer_session& session = found->second;
   std::visit(overloaded{
                [&](call_open& item) {
+                 raise_intake_event(intake_arrived{ { id, item.id } });
                  // The call is queued only after all bytes that arrived with it have been read,
                  // because a cancellation of the call may be among them.
                  session.pending_calls.emplace(item.id, std::move(item));
@@ -226,11 +243,13 @@
                },
                [&](const call_cancel& item) {
                  drop_held_response(id, item.id);
+                 raise_intake_event(intake_withdrawn{ { id, item.id } });
                  const auto call = session.calls.find(item.id);
                  if (session.pending_calls.erase(item.id) == 0 && call != session.calls.end()) {
                    cancel_server_request(call->second);
                  }
                },
+               [&](const call_credit& item) { handle_offer(id, item); },
                [&](const link_ping& item) { send_to_session(id, link_pong{ item.id }); },
                [](const auto&) {},
              },
@@ -261,6 +280,7 @@
   const auto calls = std::move(found->second.calls);
   sessions_.erase(found);
   bulk_pacer_.remove(id);
+  raise_intake_event(intake_session_ended{ id });
   for (const auto& [call, ticket] : calls) {
     cancel_server_request(ticket);
   }
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -98,6 +98,7 @@
     std::visit(overloaded{
                  [&](const slot_start& item) { start_server_request(item.id); },
                  [&](const slot_refuse& item) {
+                   log_slot_refusal(item);
                    count(counter_id::refused_at_server);
                    fail_server_request(item.id, item.reason, outcome::not_run, item.retry_after_ms);
                  },
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -69,6 +69,7 @@
   , response_memory_(
       std::make_shared<response_memory>(options.memory_bytes / RESPONSE_MEMORY_DIVISOR))
   , bulk_pacer_(options.link_bytes_per_ms)
+  , upload_intake_(options.link_bytes_per_ms)
   , crash_detector_(random_source(self.boot_id))
 {
   proxy_.self = self;
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -165,6 +165,14 @@
     std::list<std::uint64_t>::iterator place; ///< Its place in caller_order_.
   };
 
+  /** A call of which the body is offered to another proxy. */
+  struct body_offer
+  {
+    send_attempt attempt;                          ///< The attempt.
+    mono_ms offered_at = 0;                        ///< When the body was offered.
+    std::optional<timer_queue::timer_id> fallback; ///< Sends the call if there is no reply.
+  };
+
   /** A link that this proxy opened to another proxy. */
   struct peer_link
   {
@@ -172,9 +180,10 @@
     node_id node;           ///< Node of the other proxy.
     call_id next_call = 1;  ///< Id of the next call.
     std::unordered_map<call_id, std::pair<exchange_id, exchange_attempt_index>>
-      calls;                         ///< Calls without a response yet.
-    bool is_check_scheduled = false; ///< A call of check_link() is scheduled.
-    mono_ms ping_sent_at = 0;        ///< When the latest unanswered ping was sent; 0: none.
+      calls;                                        ///< Calls without a response yet.
+    std::unordered_map<call_id, body_offer> offers; ///< Calls whose body is offered, not sent yet.
+    bool is_check_scheduled = false;                ///< A call of check_link() is scheduled.
+    mono_ms ping_sent_at = 0; ///< When the latest unanswered ping was sent; 0: none.
   };
 
   /** A frame that waits until the link of the VM can carry it. */
@@ -249,6 +258,15 @@
   void raise(exchange_id id, const exchange_event& event);
   void perform(exchange_id id, const exchange_effect& effect);
   void send(exchange_id id, const send_attempt& effect);
+  /** Offers the body of an upload on a link, and sends it when it is granted. */
+  void offer_body(const std::string& link,
+                  call_id call,
+                  exchange_id id,
+                  const send_attempt& effect);
+  /** Handles the reply to an offer: sends the call if `bytes` is above 0, and else waits for it. */
+  void handle_grant(const std::string& link, const call_credit& grant);
+  /** Removes an offer and returns it, or no value if there is none. */
+  std::optional<body_offer> take_offer(peer_link& link, call_id call);
   void cancel(exchange_id id, const cancel_exchange_attempt& effect);
   void end_exchange(exchange_id id);
   void respond(exchange_id id, const response_head& head, const shared_body& body);
@@ -256,9 +274,18 @@
   void schedule_quota_counts();
   call_open make_call(const exchange& from, const send_attempt& effect) const;
 
+  // proxy_intake.cpp: bodies of uploads that other proxies offer, and refused requests.
+  /** Decides when another proxy may send the body of an upload. */
+  void handle_offer(session_id id, const call_credit& offer);
+  void raise_intake_event(const intake_event& event);
+  /** Writes the decision to refuse a request to the local server, with its inputs. */
+  void log_slot_refusal(const slot_refuse& refusal);
+
   // proxy_links.cpp: links between proxies.
   /** Returns the link to a node for requests of a kind, and opens it if there is none. */
   peer_link& get_or_open_link(const node_id& node, request_kind kind);
+  /** Returns the name of this link. */
+  static std::string link_name_of(const node_id& node, request_kind kind);
   void handle_link_message(const std::string& name, traffic_message&& message);
   void handle_link_end(const std::string& name, stream_close_reason why);
   void schedule_link_check(const std::string& name);
@@ -342,10 +369,12 @@
   std::unordered_map<slot_ticket, server_request>
     server_requests_;                                ///< Open requests to the local server.
   std::shared_ptr<response_memory> response_memory_; ///< Limits the responses that are arriving.
-  bulk_pacer bulk_pacer_;                 ///< Decides when responses to downloads are sent.
-  bool is_draining_ = false;              ///< Callers' connections are being closed.
-  bool is_count_scheduled_ = false;       ///< Counts of client accounts are passed on soon.
-  bool is_bulk_scheduled_ = false;        ///< A call of send_due_bulk() is scheduled.
+  bulk_pacer bulk_pacer_;                  ///< Decides when responses to downloads are sent.
+  bool is_draining_ = false;               ///< Callers' connections are being closed.
+  bool is_count_scheduled_ = false;        ///< Counts of client accounts are passed on soon.
+  bool is_bulk_scheduled_ = false;         ///< A call of send_due_bulk() is scheduled.
+  upload_intake upload_intake_;            ///< Decides when the bodies of uploads are sent here.
+  bool is_intake_check_scheduled_ = false; ///< A check of the transfers is scheduled.
   slot_queue slots_;                      ///< Decides which of them occupy the slots of the server.
   server_status server_;                  ///< Status of the local server.
   std::uint64_t server_incarnation_ = 0;  ///< Number of its process.
--- a/tests/connection/codec_test.cpp
+++ b/tests/connection/codec_test.cpp
@@ -53,7 +53,8 @@
   const load_report load{ 1, 2, 3 };
   return { open,
            call_cancel{ 1 },
-           call_credit{ 1, 100 },
+           call_credit{ 1, 100, {}, 0 },
+           call_credit{ 2, 60000, "rule", 1500 },
            call_response_head{ 1, { 200, { { "A", "b" } } }, load },
            call_response_data{ 1, "data" },
            call_response_end{ 1, 4, load },
