Send an upload whose offer got no reply as another call

A refusal of the offer, which promises that the request does not run, could cross the body that was sent without a grant. The offer is therefore cancelled and the call gets another id.

--- a/src/process/edge_thread.cpp
+++ b/src/process/edge_thread.cpp
@@ -229,7 +229,7 @@
   const auto& [name, call] = owner.attempts.at(effect.attempt);
   const auto link = links_.find(name);
   if (link != links_.end()) {
-    link->second.socket->send(encode_traffic(call_credit{ call, effect.bytes }));
+    link->second.socket->send(encode_traffic(call_credit{ call, effect.bytes, {}, 0 }));
   }
 }
 
--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -350,16 +350,41 @@
   body_offer& offer = links_.at(link).offers[call];
   offer.attempt = effect;
   offer.offered_at = now;
-  offer.fallback =
-    timers_.schedule(OFFER_REPLY_TIMEOUT_MS, [this, link, call, bytes = state.body.size()] {
-      handle_grant(link, { call, static_cast<std::int64_t>(bytes), {}, 0 });
-    });
+  offer.fallback = timers_.schedule(OFFER_REPLY_TIMEOUT_MS,
+                                    [this, link, call] { send_without_grant(link, call); });
   links_.at(link).stream->send(call_credit{ call,
                                             static_cast<std::int64_t>(state.body.size()),
                                             state.rule->name,
                                             state.started_at + state.rule->objective_ms - now });
 }
 
+void
+proxy_traffic::send_without_grant(const std::string& name, call_id call)
+{
+  const auto found = links_.find(name);
+  if (found == links_.end()) {
+    return;
+  }
+  peer_link& link = found->second;
+  std::optional<body_offer> offer = take_offer(link, call);
+  const auto target = link.calls.find(call);
+  if (!offer || target == link.calls.end() || !exchanges_.contains(target->second.first)) {
+    return;
+  }
+  // The call gets another id. A refusal of the offer may be under way, which promises that the
+  // request does not run.
+  link.stream->send(call_cancel{ call });
+  const auto [exchange_id, attempt] = target->second;
+  link.calls.erase(target);
+  exchange& from = exchanges_.at(exchange_id);
+  offer->attempt.timeout_ms -= read_clocks().mono - offer->offered_at;
+  call_open open = make_call(from, offer->attempt);
+  open.id = link.next_call++;
+  link.calls[open.id] = { exchange_id, attempt };
+  from.attempt_targets[attempt] = peer_target{ name, open.id };
+  link.stream->send(open);
+}
+
 std::optional<proxy_traffic::body_offer>
 proxy_traffic::take_offer(peer_link& link, call_id call)
 {
@@ -367,7 +392,7 @@
   if (found == link.offers.end()) {
     return std::nullopt;
   }
-  const body_offer offer = found->second;
+  body_offer offer = found->second;
   if (offer.fallback) {
     timers_.cancel(*offer.fallback);
   }
--- a/src/process/proxy_links.cpp
+++ b/src/process/proxy_links.cpp
@@ -113,6 +113,7 @@
           return; // The call was cancelled, and its response arrived late.
         }
         const auto [exchange, attempt] = call->second;
+        take_offer(link, item.id);
         link.calls.erase(call);
         raise(exchange,
               attempt_responded{ attempt,
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -263,6 +263,8 @@
                   call_id call,
                   exchange_id id,
                   const send_attempt& effect);
+  /** Sends a call whose offer got no reply in time. */
+  void send_without_grant(const std::string& name, call_id call);
   /** Handles the reply to an offer: sends the call if `bytes` is above 0, and else waits for it. */
   void handle_grant(const std::string& link, const call_credit& grant);
   /** Removes an offer and returns it, or no value if there is none. */
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -12,6 +12,7 @@
 
 using namespace shallotfield;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 
 /** Returns a port that is free at present. */
 static std::uint16_t
@@ -72,6 +73,8 @@
       { "read", "h", "/", request_kind::idempotent, 1000, 1, 2000, 2, { { "shop", 1 } } });
     document.rules.push_back(
       { "order", "h", "/order/", request_kind::at_most_once, 1000, 1, 2000, 1, { { "shop", 1 } } });
+    document.rules.push_back(
+      { "file", "h", "/file/", request_kind::upload, 1500, 1, 3000, 1, { { "shop", 1 } } });
     document.services.push_back({ "shop", "" });
     traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
     traffic->set_peers(std::make_shared<peer_view>(peer_view{ { "a", self } }));
@@ -528,6 +531,136 @@
   BOOST_TEST(server.requests == 0);
 }
 
+/** Another proxy, to which the proxy under test opens a link. */
+struct fake_peer
+{
+  fake_peer(boost::asio::io_context& context, std::uint16_t port)
+    : acceptor(context, { boost::asio::ip::make_address("127.0.0.2"), port })
+    , link(context)
+  {
+    acceptor.async_accept(link, [this](const boost::system::error_code&) { read(); });
+  }
+
+  void read()
+  {
+    link.async_read_some(boost::asio::buffer(buffer),
+                         [this](const boost::system::error_code& error, std::size_t count) {
+                           received.append(buffer.data(), count);
+                           if (!error) {
+                             read();
+                           }
+                         });
+  }
+
+  bool has(const std::string& text) const { return received.find(text) != std::string::npos; }
+
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::socket link;
+  std::array<char, 4096> buffer{};
+  std::string received; ///< All bytes that were sent to this proxy.
+};
+
+/** Lets the proxy know one server only, beside a fake peer at 127.0.0.2. */
+static void
+set_single_peer(proxy_traffic& traffic)
+{
+  node_beacon self;
+  self.id = "a";
+  self.zone = "z";
+  node_beacon other = self;
+  other.id = "b";
+  other.host = "127.0.0.2";
+  other.server = { "shop", "i-2", traffic_fixture::SLOTS, server_state::ready };
+  traffic.set_peers(std::make_shared<peer_view>(peer_view{ { "a", self }, { "b", other } }));
+}
+
+/** Sends an upload to the proxy. */
+static void
+send_upload(boost::asio::ip::tcp::socket& caller, std::uint16_t port)
+{
+  caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+  boost::asio::write(
+    caller,
+    boost::asio::buffer("POST /file/x HTTP/1.1\r\nHost: h\r\nX-Shallotfield-Request-Id: "
+                        "u1\r\nContent-Length: 9\r\n\r\nthe-bytes"s));
+}
+
+BOOST_AUTO_TEST_CASE(body_of_an_upload_is_sent_once_it_is_granted)
+{
+  fake_peer peer(context, options.peers_port);
+  set_single_peer(*traffic);
+  boost::asio::ip::tcp::socket caller(context);
+  send_upload(caller, options.callers_address.port);
+  BOOST_TEST(run_until(context, [&] { return peer.has("call_credit"); }));
+  boost::asio::write(peer.link, boost::asio::buffer(encode_traffic(call_credit{ 1, 0, {}, 0 })));
+  run_for(500ms);
+  BOOST_TEST(!peer.has("the-bytes"));
+  boost::asio::write(peer.link, boost::asio::buffer(encode_traffic(call_credit{ 1, 9, {}, 0 })));
+  BOOST_TEST(run_until(context, [&] { return peer.has("the-bytes"); }));
+}
+
+BOOST_AUTO_TEST_CASE(upload_to_a_proxy_that_knows_no_offers_is_sent_with_another_id)
+{
+  fake_peer peer(context, options.peers_port);
+  set_single_peer(*traffic);
+  boost::asio::ip::tcp::socket caller(context);
+  send_upload(caller, options.callers_address.port);
+  BOOST_TEST(run_until(context, [&] { return peer.has("the-bytes"); }));
+  BOOST_TEST(peer.has("call_cancel"));
+  // A refusal of the offer that was under way does not end the request, which may run.
+  boost::asio::write(peer.link,
+                     boost::asio::buffer(encode_traffic(call_failed{
+                       1, failure_reason::queue_full, outcome::not_run, 100, load_report{}, 0 })));
+  std::array<char, 1024> buffer{};
+  std::string reply;
+  caller.async_read_some(boost::asio::buffer(buffer),
+                         [&](auto, std::size_t count) { reply.assign(buffer.data(), count); });
+  run_for(300ms);
+  BOOST_TEST(reply.empty());
+}
+
+BOOST_AUTO_TEST_CASE(offered_bodies_are_granted_one_after_the_other)
+{
+  server.on_request = [](const scripted_connection_ptr&, const std::string&) {};
+  boost::asio::ip::tcp::socket link(context);
+  link.connect({ boost::asio::ip::make_address("127.0.0.1"), options.peers_port });
+  std::array<char, 4096> buffer{};
+  std::string replies;
+  std::function<void()> read = [&] {
+    link.async_read_some(boost::asio::buffer(buffer),
+                         [&](const boost::system::error_code& error, std::size_t count) {
+                           replies.append(buffer.data(), count);
+                           if (!error) {
+                             read();
+                           }
+                         });
+  };
+  read();
+  boost::asio::write(link,
+                     boost::asio::buffer(encode_traffic(call_credit{ 1, 500, "file", 1500 }) +
+                                         encode_traffic(call_credit{ 2, 600, "file", 1500 }) +
+                                         encode_traffic(call_credit{ 3, 700, "file", 0 })));
+  const auto has = [&replies](call_id call, std::int64_t bytes) {
+    const std::string message = encode_traffic(call_credit{ call, bytes, {}, 0 });
+    return replies.find(message) != std::string::npos;
+  };
+  // Grants the first, defers the second, and refuses the third, which is too late already.
+  BOOST_TEST(run_until(context, [&] { return replies.find("queue_full") != std::string::npos; }));
+  BOOST_TEST(has(1, 500));
+  BOOST_TEST(has(2, 0));
+  BOOST_TEST(!has(2, 600));
+  call_open call;
+  call.id = 1;
+  call.head = { "POST", "/file/x", { { "Host", "h" } } };
+  call.service = "shop";
+  call.timeout_ms = 2000;
+  call.objective_ms = 1000;
+  call.body = std::string(500, 'x');
+  boost::asio::write(link, boost::asio::buffer(encode_traffic(call)));
+  BOOST_TEST(run_until(context, [&] { return has(2, 600); }));
+  BOOST_TEST(run_until(context, [this] { return server.requests == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(connection_to_an_odd_peer_address_does_not_end_the_process)
 {
   node_beacon self;
