Learn how many requests a server runs, and send only probes to one that rejects all

Change: server_limit (src/request) learns the concurrency limit from completions and rejections, beside the server; a server that rejects most requests gets probes only, and announces no slots meanwhile. Switched on by the setting learn_server_limit; without it, or while no server rejects anything, the announced slots hold as before.

--- a/src/process/log_type.h
+++ b/src/process/log_type.h
@@ -55,9 +55,10 @@
   suspect_stored,   ///< A rejected request was stored in the platform's store, or removed from it.
   suspect_restored, ///< Rejected requests were read from the platform's store.
   quota_limited,    ///< A client account asks for more than its quota, or no longer does.
+  server_limit, ///< The local backend server is closed since it rejects requests, or open again.
 };
 
-inline constexpr enum_table<log_event, 44> LOG_EVENT_ROWS = { {
+inline constexpr enum_table<log_event, 45> LOG_EVENT_ROWS = { {
   { log_event::started, "started" },
   { log_event::stopped, "stopped" },
   { log_event::listening, "listening" },
@@ -102,8 +103,9 @@
   { log_event::suspect_stored, "suspect_stored" },
   { log_event::suspect_restored, "suspect_restored" },
   { log_event::quota_limited, "quota_limited" },
+  { log_event::server_limit, "server_limit" },
 } };
-static_assert(is_complete(LOG_EVENT_ROWS, log_event::quota_limited));
+static_assert(is_complete(LOG_EVENT_ROWS, log_event::server_limit));
 
 /** Returns the name table of log events. */
 constexpr const auto&
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -45,9 +45,10 @@
   quota_returned,           ///< Admitted ones of them that never ran, and no longer count.
   quota_refused,            ///< Requests refused because their client account used up its quota.
   quota_datagrams,          ///< Datagrams about quotas sent to other proxies.
+  server_closings, ///< Times that the local server got no requests because it rejected most.
 };
 
-inline constexpr enum_table<counter_id, 38> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 39> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -86,8 +87,9 @@
   { counter_id::quota_returned, "quota_returned" },
   { counter_id::quota_refused, "quota_refused" },
   { counter_id::quota_datagrams, "quota_datagrams" },
+  { counter_id::server_closings, "server_closings" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::quota_datagrams));
+static_assert(is_complete(COUNTER_ROWS, counter_id::server_closings));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -109,6 +109,10 @@
       },
       Qt::QueuedConnection);
   };
+  traffic_.on_server_limit_changed = [this] {
+    QMetaObject::invokeMethod(
+      &context_, [this] { schedule_urgent_beacon(self_.id); }, Qt::QueuedConnection);
+  };
   traffic_.on_server_crashed = [this](const report_crash& report) {
     QMetaObject::invokeMethod(
       &context_, [this, report] { record_crash(report); }, Qt::QueuedConnection);
@@ -248,12 +252,15 @@
 void
 proxy_node::refresh_beacon()
 {
+  const load_report load = traffic_.load();
   ++self_.sequence;
   self_.server = server_.current_status();
+  if (options_.learns_server_limit) {
+    self_.server.slots = std::min(self_.server.slots, load.slots);
+  }
   self_.config_version = follower_.version();
   self_.is_store_reachable = follower_.is_store_reachable();
   self_.is_leaving = is_leave_announced_;
-  const load_report load = traffic_.load();
   self_.running = load.running;
   self_.waiting = load.waiting;
   self_.slowness_permille = load.slowness_permille;
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -23,6 +23,7 @@
 /** Interval at which the slot queue refuses waiting requests that can no longer start in time. */
 static constexpr std::int64_t QUEUE_CHECK_INTERVAL_MS = 50;
 
+static constexpr unsigned STATUS_MISDIRECTED = 421;
 static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
 
 slot_ticket
@@ -60,6 +61,9 @@
     fail_server_request(id, failure_reason::draining, outcome::not_run, 0);
     return id;
   }
+  if (refuse_if_server_is_closed(id)) {
+    return id;
+  }
   // The response to a download has to wait for those before it. If it would be late even if the
   // server started it now, it is refused at once.
   const bool is_bulk = local == nullptr && request.call.kind == work_class::bulk;
@@ -155,6 +159,8 @@
   server_request& request = found->second;
   const mono_ms now = read_clocks().mono;
   request.started_at = now;
+  request.limited = server_limit_.record_start(slots_.report().running, now);
+  apply_server_limit();
   count(counter_id::admitted);
   log_suspect(request);
   raise_crash_event(request_sent{ id });
@@ -198,6 +204,17 @@
   } else {
     stream->abort();
   }
+  const bool is_rejection = verdict == platform::response_verdict::not_run &&
+                            response.head.status != STATUS_MISDIRECTED &&
+                            read_clocks().mono < request.deadline;
+  // The limit is updated first, so that a server that rejects everything gets no further request.
+  if (verdict == platform::response_verdict::valid) {
+    raise_limit_event(limit_completed{ request.limited });
+  } else if (is_rejection) {
+    raise_limit_event(limit_rejected{ request.limited });
+  } else {
+    raise_limit_event(limit_inconclusive{ request.limited });
+  }
   raise_slot_event(slot_finished{ id, verdict == platform::response_verdict::valid });
   if (verdict == platform::response_verdict::invalid) {
     raise_crash_event(request_inconclusive{ id });
@@ -258,6 +275,7 @@
     return;
   }
   found->second.stream.reset();
+  raise_limit_event(limit_inconclusive{ found->second.limited });
   raise_slot_event(slot_finished{ id, false });
   if (why == http_client_error::never_sent) {
     raise_crash_event(connection_failed{});
@@ -325,6 +343,7 @@
   }
   if (found->second.stream) {
     found->second.stream->abort();
+    raise_limit_event(limit_inconclusive{ found->second.limited });
     raise_crash_event(
       request_abandoned{ identity_of(found->second), id, found->second.started_at });
   } else {
@@ -345,6 +364,7 @@
   const bool was_sent = found->second.stream != nullptr;
   if (was_sent) {
     found->second.stream->abort();
+    raise_limit_event(limit_timed_out{ found->second.limited });
     raise_crash_event(
       request_abandoned{ identity_of(found->second), id, found->second.started_at });
   }
--- a/src/process/proxy_settings.cpp
+++ b/src/process/proxy_settings.cpp
@@ -153,6 +153,20 @@
   return number;
 }
 
+/** Parses an optional boolean. Returns false if it is missing. */
+static leaf::result<bool>
+parse_optional_flag(const json& file, std::string_view key)
+{
+  const auto value = file.find(key);
+  if (value == file.end() || value->is_null()) {
+    return false;
+  }
+  if (!value->is_boolean()) {
+    return refuse(key, setting_fault::wrong_type);
+  }
+  return value->get<bool>();
+}
+
 leaf::result<proxy_settings>
 parse_proxy_settings(std::string_view text)
 {
@@ -201,6 +215,7 @@
   result.memory_bytes = static_cast<std::size_t>(memory_mb * BYTES_PER_MB);
   BOOST_LEAF_AUTO(link_mbps, parse_optional_number(file, "link_mbps", LINK_MAX_MBPS, 0));
   result.link_bytes_per_ms = link_mbps * BYTES_PER_MS_PER_MBPS;
+  BOOST_LEAF_ASSIGN(result.learns_server_limit, parse_optional_flag(file, "learn_server_limit"));
   BOOST_LEAF_CHECK(parse_bound_texts(file, result));
   return result;
 }
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -28,6 +28,8 @@
   std::uint32_t processor_permille = 0;   ///< CPU share of the process, in thousandths of a core.
   std::size_t memory_bytes = 256U << 20U; ///< Memory limit of the process.
   double link_bytes_per_ms = 0;           ///< Rate of the VM's network link; 0: unknown.
+  bool learns_server_limit = false;       ///< Whether the proxy learns how many requests the local
+                                          ///< server runs, or relies on the announced slots.
   bool is_first_start = false;            ///< The fleet is started for the first time, so that the
                                           ///< directory of peers is still empty.
   std::vector<std::string> bounds; ///< Bounds that the platform sets for the fleet, such as the
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -265,7 +265,12 @@
     }
     server_ = status;
     server_incarnation_ = incarnation;
-    raise_slot_event(slot_server_changed{ status.slots, takes_work, is_new });
+    server_limit_.handle(limit_server_changed{ status.slots, is_new }, read_clocks().mono);
+    const bool is_closed = is_server_closed();
+    applied_limit_ = usable_slots();
+    raise_slot_event(slot_server_changed{
+      is_closed ? status.slots : applied_limit_, takes_work && !is_closed, is_new });
+    update_load_counters();
   });
 }
 
@@ -363,6 +368,7 @@
   bulk_wait_ms_ = report.bulk_wait_ms;
   running_ = report.running;
   waiting_ = report.waiting;
+  usable_slots_ = usable_slots();
   slowness_permille_ = report.slowness_permille;
   lines_dropped_ = log_rate_limiter_.routine_dropped() + log_rate_limiter_.failures_dropped();
   failure_lines_dropped_ = log_rate_limiter_.failures_dropped();
@@ -371,7 +377,11 @@
 load_report
 proxy_traffic::load() const
 {
-  return { running_.load(), waiting_.load(), 0, slowness_permille_.load(), bulk_wait_ms_.load() };
+  return { running_.load(),
+           waiting_.load(),
+           usable_slots_.load(),
+           slowness_permille_.load(),
+           bulk_wait_ms_.load() };
 }
 
 } // namespace shallotfield
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -63,6 +63,9 @@
 public:
   std::function<void()> on_server_unreachable; ///< Called on the traffic thread when no connection
                                                ///< to the local server could be opened.
+  std::function<void()> on_server_limit_changed; ///< Called on the traffic thread when the local
+                                                 ///< server was closed or opened; see
+                                                 ///< server_limit.
   /** Called on the traffic thread when the local server crashed, or may have and has not, when a
    * request that is suspected of crashing servers is on trial, and when the server completed such a
    * request. */
@@ -132,7 +135,8 @@
   /** Records a regular tick of the control thread, by which pauses of the process are noticed. */
   void record_control_tick(mono_ms now) { pauses_.record_tick(now); }
 
-  /** Returns the load of the local server. The number of slots is not set. */
+  /** Returns the load of the local server. The number of slots is the learned limit, which is 0
+   * while the server is closed. */
   load_report load() const;
 
   /** Returns the number of log lines dropped since the start: first all lines, then only those
@@ -214,6 +218,7 @@
     mono_ms arrived_at = 0;                       ///< When the request arrived at this proxy.
     mono_ms started_at = 0;                       ///< When the request was sent to the server.
     mono_ms deadline = 0;                         ///< When the response is due.
+    limited_request limited;                      ///< Set when it is sent.
     server_stream_ptr stream;                     ///< Connection to the server; null until sent.
     std::optional<request_digests> digests;       ///< Set once a request is suspected.
     std::optional<timer_queue::timer_id> timeout; ///< Timer that expires the request.
@@ -331,6 +336,19 @@
   /** Returns what identifies a request to the local server; refers to the request. */
   static request_identity identity_of(const server_request& request);
 
+  // proxy_server_limit.cpp: the learned concurrency limit of the local server.
+  void raise_limit_event(const limit_event& event);
+  /** Returns the learned limit, or the announced slots if the limit is not learned. */
+  std::uint32_t usable_slots() const;
+  /** Returns whether the local server gets no requests because it rejected the latest ones. */
+  bool is_server_closed() const { return usable_slots() == 0 && server_.slots > 0; }
+  /** Tells the control thread that the limit changed, for the beacon of this node. */
+  void announce_server_limit();
+  /** Passes the limit to the slot queue if it changed. */
+  void apply_server_limit();
+  /** Refuses a request if the local server gets none at present. Returns whether it did. */
+  bool refuse_if_server_is_closed(slot_ticket id);
+
   // proxy_server.cpp: requests to the local server.
   slot_ticket add_server_request(const request_origin& origin, call_open&& call);
   void raise_slot_event(const slot_event& event);
@@ -378,6 +396,8 @@
   upload_intake upload_intake_;            ///< Decides when the bodies of uploads are sent here.
   bool is_intake_check_scheduled_ = false; ///< A check of the transfers is scheduled.
   slot_queue slots_;                      ///< Decides which of them occupy the slots of the server.
+  server_limit server_limit_;             ///< Learns how many requests the local server runs.
+  std::uint32_t applied_limit_ = 0;       ///< Limit that the slot queue was told last.
   server_status server_;                  ///< Status of the local server.
   std::uint64_t server_incarnation_ = 0;  ///< Number of its process.
   crash_detector crash_detector_;         ///< Finds the requests on which it crashes.
@@ -395,6 +415,7 @@
   std::atomic<std::size_t> open_requests_{ 0 };           ///< Open requests of callers and proxies.
   std::atomic<std::uint32_t> running_{ 0 };               ///< Requests on slots of the server.
   std::atomic<std::uint32_t> waiting_{ 0 };               ///< Requests that wait for a slot.
+  std::atomic<std::uint32_t> usable_slots_{ 0 };          ///< Learned limit of the server.
   std::atomic<std::uint32_t> slowness_permille_{ 0 };     ///< Slowness of the server.
   std::atomic<std::uint32_t> bulk_wait_ms_{ 0 };          ///< Backlog of responses to downloads.
 
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -459,7 +459,10 @@
     exchange_.attempts[event.attempt].may_have_run = false;
     ++exchange_.rejected_attempts;
     record_retry_after(event.retry_after_ms);
-    if (event.reason == failure_reason::queue_full) {
+    const bool is_closed = event.load && event.load->slots == 0;
+    if (event.reason == failure_reason::queue_full && is_closed) {
+      proxy_.tracker.record_closed(node, event.retry_after_ms, now_);
+    } else if (event.reason == failure_reason::queue_full) {
       proxy_.tracker.record_full(node, exchange_.priority, event.retry_after_ms, now_);
     }
     const bool may_send_elsewhere =
--- a/src/request/server_choice_policy.cpp
+++ b/src/request/server_choice_policy.cpp
@@ -2,6 +2,7 @@
 #include "server_choice_policy.h"
 
 #include <cmath>
+#include <limits>
 
 namespace shallotfield {
 
@@ -28,6 +29,12 @@
  * requests in its queue keep its slots busy meanwhile. */
 static constexpr mono_ms FULL_BACKOFF_MS = 40;
 
+/** Longest time for which a server that is closed gets no requests without news from its node. */
+static constexpr mono_ms CLOSED_BACKOFF_MAX_MS = 500;
+
+/** Wait that is assumed for a closed server if its node named none. */
+static constexpr std::int64_t CLOSED_WAIT_MS = 200;
+
 /** Time for which a node that could not be reached is used only as a last resort. */
 static constexpr mono_ms UNREACHABLE_BACKOFF_MS = 1000;
 
@@ -144,6 +151,15 @@
   tracked.wait_ms = wait_ms;
 }
 
+void
+server_tracker::record_closed(const node_id& node, std::int64_t wait_ms, mono_ms now)
+{
+  tracked_server& tracked = tracked_[node];
+  tracked.full_priority = std::numeric_limits<std::int64_t>::min();
+  tracked.full_until = now + std::min(wait_ms, CLOSED_BACKOFF_MAX_MS);
+  tracked.wait_ms = wait_ms;
+}
+
 void
 server_tracker::record_unreachable(const node_id& node, mono_ms now)
 {
@@ -321,6 +337,11 @@
     return false;
   }
   const tracked_server& tracked = tracker_.at(node.id);
+  // A node announces no slots while its server rejects all requests.
+  if (node.server.slots == 0) {
+    full_ = no_capacity{ full_ ? std::min(full_->wait_ms, CLOSED_WAIT_MS) : CLOSED_WAIT_MS };
+    return false;
+  }
   if (now_ < tracked.full_until && request_.priority >= tracked.full_priority) {
     full_ = no_capacity{ full_ ? std::min(full_->wait_ms, tracked.wait_ms) : tracked.wait_ms };
     return false;
--- a/src/request/server_choice_policy.h
+++ b/src/request/server_choice_policy.h
@@ -54,6 +54,8 @@
    * capacity.
    */
   void record_full(const node_id& node, std::int64_t priority, std::int64_t wait_ms, mono_ms now);
+  /** Records that a server gets no requests for `wait_ms`, because it rejected the latest ones. */
+  void record_closed(const node_id& node, std::int64_t wait_ms, mono_ms now);
   /** Records that a node could not be reached. */
   void record_unreachable(const node_id& node, mono_ms now);
   /** Returns what is known of a server, which is the initial state if it is not tracked. */
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -48,8 +48,9 @@
 /** A proxy's traffic thread, with one fake server beside it. */
 struct traffic_fixture
 {
-  traffic_fixture()
+  explicit traffic_fixture(bool learns_server_limit = false)
   {
+    options.learns_server_limit = learns_server_limit;
     options.node_id = "a";
     options.region = "r";
     options.zone = "z";
@@ -680,4 +681,41 @@
   BOOST_TEST(record.statuses["r1"] == 503U);
 }
 
+/** The same, with a proxy that learns how many requests the server runs. */
+struct limited_traffic_fixture : traffic_fixture
+{
+  limited_traffic_fixture()
+    : traffic_fixture(true)
+  {
+  }
+};
+
+// Guards against a server that rejects all requests while its health check succeeds.
+BOOST_FIXTURE_TEST_CASE(server_that_rejects_everything_gets_only_probes, limited_traffic_fixture)
+{
+  bool is_rejecting = true;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    to->send(is_rejecting ? "HTTP/1.1 503 Busy\r\nX-Shallotfield-Request-Id: " +
+                              header_of(head, "X-Shallotfield-Request-Id") +
+                              "\r\nX-Shallotfield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                          : response_to(head, "hello"));
+  };
+  const auto caller = call();
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    caller->send(id, "/order/x", 1000);
+    BOOST_TEST(run_until(context, [&] { return record.statuses.contains(id); }));
+    BOOST_TEST(record.statuses[id] == 503U);
+  }
+  BOOST_TEST(server.requests < 25);
+  BOOST_TEST(traffic->load().slots == 0U);
+  // A probe is due after some time, and the requests that follow it run.
+  is_rejecting = false;
+  BOOST_TEST(run_until(context, [this] { return traffic->load().slots > 0U; }));
+  caller->send("probe", "/order/x", 1000);
+  BOOST_TEST(run_until(context, [this] { return record.statuses.contains("probe"); }));
+  BOOST_TEST(record.statuses["probe"] == 200U);
+  BOOST_TEST(traffic->load().slots >= SLOTS / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/proxy_settings_test.cpp
+++ b/tests/process/proxy_settings_test.cpp
@@ -56,6 +56,7 @@
   BOOST_REQUIRE(parsed.has_value());
   BOOST_TEST(parsed->memory_bytes == 256U << 20U);
   BOOST_TEST(parsed->link_bytes_per_ms == 0);
+  BOOST_TEST(!parsed->learns_server_limit);
 }
 
 BOOST_AUTO_TEST_CASE(each_fault_reports_its_key)
