Let work leave its zone by a share that rises while leaving pays

Cause: all proxies of a zone see the same load reports of another zone, up to half a second old, and each sends what looks better there; the price of the bytes was fixed in the code.

Change: zone_spill keeps, for each service, place and size class, the share that may leave; it rises in small steps while leaving gains, stays in between, and falls when there is capacity at home. Prices of traffic are settings. Counters of attempts that leave the zone or the region.

--- a/src/process/proxy_settings.cpp
+++ b/src/process/proxy_settings.cpp
@@ -57,6 +57,9 @@
 static constexpr double MEMORY_MAX_MB = 1 << 24;
 static constexpr double LINK_MAX_MBPS = 1e6;
 
+/** Maximum price of traffic. With a larger one, no request would ever leave its zone. */
+static constexpr double TRAFFIC_PRICE_MAX_MS_PER_MB = 1e6;
+
 static constexpr double BYTES_PER_MB = 1 << 20;
 static constexpr double BYTES_PER_MS_PER_MBPS = 125;
 static constexpr double MS_PER_S = 1000;
@@ -215,6 +218,13 @@
   result.memory_bytes = static_cast<std::size_t>(memory_mb * BYTES_PER_MB);
   BOOST_LEAF_AUTO(link_mbps, parse_optional_number(file, "link_mbps", LINK_MAX_MBPS, 0));
   result.link_bytes_per_ms = link_mbps * BYTES_PER_MS_PER_MBPS;
+  BOOST_LEAF_ASSIGN(result.spills_by_share, parse_optional_flag(file, "zone_spill"));
+  BOOST_LEAF_ASSIGN(
+    result.prices.zone_ms_per_mb,
+    parse_optional_number(file, "zone_traffic_ms_per_mb", TRAFFIC_PRICE_MAX_MS_PER_MB, 0));
+  BOOST_LEAF_ASSIGN(
+    result.prices.region_ms_per_mb,
+    parse_optional_number(file, "region_traffic_ms_per_mb", TRAFFIC_PRICE_MAX_MS_PER_MB, 0));
   BOOST_LEAF_ASSIGN(result.learns_server_limit, parse_optional_flag(file, "learn_server_limit"));
   BOOST_LEAF_CHECK(parse_bound_texts(file, result));
   return result;
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -1,6 +1,7 @@
 // The settings of a proxy and the parser of its settings file.
 #pragma once
 #include "settings_type.h"
+#include "traffic_price_type.h"
 
 #include <boost/leaf/result.hpp>
 #include <string>
@@ -28,12 +29,15 @@
   std::uint32_t processor_permille = 0;   ///< CPU share of the process, in thousandths of a core.
   std::size_t memory_bytes = 256U << 20U; ///< Memory limit of the process.
   double link_bytes_per_ms = 0;           ///< Rate of the VM's network link; 0: unknown.
-  bool learns_server_limit = false;       ///< Whether the proxy learns how many requests the local
-                                          ///< server runs, or relies on the announced slots.
-  bool is_first_start = false;            ///< The fleet is started for the first time, so that the
-                                          ///< directory of peers is still empty.
-  std::vector<std::string> bounds; ///< Bounds that the platform sets for the fleet, such as the
-                                   ///< grace period, each as `name=value`.
+  bool spills_by_share = false; ///< Whether the share of work that leaves the zone is limited; see
+                                ///< zone_spill.
+  traffic_prices prices;        ///< Prices of traffic, used if spills_by_share.
+  bool learns_server_limit = false; ///< Whether the proxy learns how many requests the local
+                                    ///< server runs, or relies on the announced slots.
+  bool is_first_start = false;      ///< The fleet is started for the first time, so that the
+                                    ///< directory of peers is still empty.
+  std::vector<std::string> bounds;  ///< Bounds that the platform sets for the fleet, such as the
+                                    ///< grace period, each as `name=value`.
 };
 
 /**
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -74,6 +74,8 @@
 {
   proxy_.self = self;
   proxy_.caller_service = options.service;
+  proxy_.uses_spill = options.spills_by_share;
+  proxy_.prices = options.prices;
   set_peer_view(proxy_, std::make_shared<peer_view>(peer_view{ { self.id, self } }));
   proxy_.limits = limits;
   proxy_.random.seed(self.boot_id);
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -288,6 +288,9 @@
     request.objective_fraction =
       static_cast<double>(fleet_service_ms()) / static_cast<double>(exchange_.rule->objective_ms);
   }
+  request.objective_ms = static_cast<double>(exchange_.rule->objective_ms);
+  request.prices = proxy_.prices;
+  request.spill = proxy_.uses_spill ? &proxy_.spill : nullptr;
   for (const exchange_attempt& attempt : exchange_.attempts) {
     request.excluded.insert(attempt.node);
   }
@@ -333,6 +336,11 @@
   if (is_cross_region) {
     proxy_.congestion.record_sent(choice.node->region, expected_bytes, now_);
   }
+  if (choice.distance == server_distance::same_region) {
+    count(counter_id::sent_to_zones);
+  } else if (is_cross_region) {
+    count(counter_id::sent_to_regions);
+  }
   proxy_.tracker.record_sent(choice.node->id);
   effects_.emplace_back(send_attempt{ attempt,
                                       choice.node->id,
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -163,6 +163,9 @@
   server_index servers;          ///< The servers of these nodes.
   server_tracker tracker;        ///< Load and health of the servers.
   congestion_control congestion; ///< Limits the traffic to other regions.
+  zone_spill spill;              ///< Limits what leaves the zone.
+  bool uses_spill = false;       ///< Whether it does; otherwise the lowest score decides alone.
+  traffic_prices prices;         ///< Prices of traffic between zones and regions.
   std::map<service_id, fleet_retry_budget> retry_budgets; ///< Retry budgets by service.
   /** By rule with several targets: the number of requests that each target is behind its share. */
   std::unordered_map<std::string, std::vector<double>> split_deficits;
--- a/src/request/server_choice_policy.cpp
+++ b/src/request/server_choice_policy.cpp
@@ -84,6 +84,10 @@
 static constexpr double NETWORK_COST_MAX = 3;
 
 static constexpr double BYTES_PER_KB = 1000;
+static constexpr double BYTES_PER_MB = 1e6;
+
+/** Size from which requests count as large, and leave the zone by a share of their own. */
+static constexpr double LARGE_REQUEST_BYTES_MIN = 16'000;
 
 void
 server_tracker::record_sent(const node_id& node)
@@ -209,10 +213,18 @@
 
 /** Returns the network cost of a request. */
 static double
-network_cost_of(server_distance distance, double expected_bytes)
+network_cost_of(server_distance distance, const choice_request& request)
 {
   const network_cost_row& cost = NETWORK_COST_ROWS[static_cast<std::size_t>(distance)];
-  return cost.per_request + cost.per_kb * expected_bytes / BYTES_PER_KB;
+  if (request.spill == nullptr || request.objective_ms <= 0) {
+    return cost.per_request + cost.per_kb * request.expected_bytes / BYTES_PER_KB;
+  }
+  const double ms_per_mb = distance == server_distance::same_region ? request.prices.zone_ms_per_mb
+                           : distance == server_distance::other_region
+                             ? request.prices.region_ms_per_mb
+                             : 0;
+  return cost.per_request +
+         ms_per_mb * request.expected_bytes / BYTES_PER_MB / request.objective_ms;
 }
 
 /** Returns the service time at a server, as a multiple of the average in the fleet. */
@@ -321,8 +333,12 @@
   const choice_request& request_;
   mono_ms now_;
   random_source& random_;
-  std::optional<server_choice> best_; ///< The best server so far.
-  std::optional<no_capacity> full_;   ///< Set if some servers were skipped because they are full.
+  /** Returns the best server. Work leaves the zone only as far as the spill policy allows. */
+  std::optional<server_choice> select_best();
+
+  /** The best server so far at each distance. */
+  std::array<std::optional<server_choice>, SERVER_DISTANCE_ROWS.size()> best_at_;
+  std::optional<no_capacity> full_; ///< Set if some servers were skipped because they are full.
   /** Servers whose node is shutting down or was recently unreachable. */
   std::vector<std::pair<const node_beacon*, server_distance>> last_resort_;
 };
@@ -357,11 +373,12 @@
 server_chooser::compare(const node_beacon& node, server_distance distance)
 {
   std::uniform_real_distribution<double> jitter(0, SCORE_JITTER);
-  const double network_cost = network_cost_of(distance, request_.expected_bytes);
+  const double network_cost = network_cost_of(distance, request_);
   const double score =
     score_of(node, request_, network_cost, tracker_.at(node.id), now_) + jitter(random_);
-  if (!best_ || score < best_->score) {
-    best_ = server_choice{ &node, distance, score };
+  std::optional<server_choice>& best = best_at_[static_cast<std::size_t>(distance)];
+  if (!best || score < best->score) {
+    best = server_choice{ &node, distance, score };
   }
 }
 
@@ -379,6 +396,36 @@
   }
 }
 
+std::optional<server_choice>
+server_chooser::select_best()
+{
+  std::optional<server_choice> best;
+  const auto take_if_better = [&best](const std::optional<server_choice>& other) {
+    if (other && (!best || other->score < best->score)) {
+      best = other;
+    }
+  };
+  take_if_better(best_at_[static_cast<std::size_t>(server_distance::same_node)]);
+  take_if_better(best_at_[static_cast<std::size_t>(server_distance::same_zone)]);
+  const std::optional<server_choice> home = best;
+  for (const server_distance distance :
+       { server_distance::same_region, server_distance::other_region }) {
+    const std::optional<server_choice>& away = best_at_[static_cast<std::size_t>(distance)];
+    const bool may_leave =
+      !away || !home || request_.spill == nullptr ||
+      request_.spill->may_leave({ request_.service,
+                                  static_cast<std::size_t>(distance),
+                                  request_.expected_bytes >= LARGE_REQUEST_BYTES_MIN },
+                                { home->score, away->score },
+                                now_,
+                                random_);
+    if (may_leave) {
+      take_if_better(away);
+    }
+  }
+  return best;
+}
+
 choice_result
 server_chooser::choose(server_index::distance_lists& servers)
 {
@@ -390,17 +437,18 @@
     }
     compare_sample(servers[i], distance);
   }
-  if (!best_) {
+  std::optional<server_choice> best = select_best();
+  if (!best) {
     // A server that may fail is better than none.
     for (const auto& [node, distance] : last_resort_) {
       compare(*node, distance);
     }
+    best = select_best();
   }
-  const bool is_too_far =
-    best_ && best_->distance > *nearest &&
-    network_cost_of(best_->distance, request_.expected_bytes) > NETWORK_COST_MAX;
-  if (best_ && !is_too_far) {
-    return *best_;
+  const bool is_too_far = best && best->distance > *nearest &&
+                          network_cost_of(best->distance, request_) > NETWORK_COST_MAX;
+  if (best && !is_too_far) {
+    return *best;
   }
   return full_ ? choice_result(*full_) : choice_result(no_candidate{});
 }
--- a/src/request/server_choice_policy.h
+++ b/src/request/server_choice_policy.h
@@ -6,6 +6,7 @@
 #pragma once
 #include "connection/connection.h"
 #include "pick_policy.h"
+#include "zone_spill_policy.h"
 
 #include <array>
 #include <functional>
@@ -129,6 +130,10 @@
   double bulk_objective_ms = 0;
   /** Returns whether the link to another region has capacity. If unset, all links have. */
   std::function<bool(const std::string&)> has_region_capacity;
+  double objective_ms = 0;     ///< Latency objective; 0 if there is none.
+  zone_spill* spill = nullptr; ///< Limits what leaves the zone; null: each request goes to the
+                               ///< server with the lowest score.
+  traffic_prices prices = {};  ///< Prices of the bytes if `spill` is set.
 };
 
 /** No server was chosen, because those that could run the request are full at present. */
