Move a service's traffic to another version when the operator orders it

Orders of roll-outs were ignored: a bad version got whatever the balancer gave it. The first reader of the store decides now (rollout_controller): a canary share that keeps one server busy, a verdict from failures and slowness against the other versions at the same time, larger steps, then the state in the store. The proxy beside each server limits what it gets whatever callers' proxies have heard (rollout_gate); beacons carry version and counts.

Without an order nothing changes: no message, no limit, no call.

--- a/src/connection/beacon_codec.cpp
+++ b/src/connection/beacon_codec.cpp
@@ -20,6 +20,9 @@
  * datagram. */
 static constexpr std::size_t DIRECTORY_NAME_BYTES_MAX = 200;
 
+/** Size limit of the version of a server. */
+static constexpr std::size_t VERSION_BYTES_MAX = 200;
+
 /** Size of the array header (3 bytes) and the format version (1 byte) in a datagram. */
 static constexpr std::size_t DATAGRAM_HEADER_BYTES = 4;
 
@@ -44,7 +47,13 @@
                        beacon.config_version,
                        beacon.is_store_reachable,
                        beacon.is_leaving,
-                       beacon.bulk_wait_ms });
+                       beacon.bulk_wait_ms,
+                       beacon.server.version,
+                       beacon.rollout.order,
+                       static_cast<unsigned>(beacon.rollout.step),
+                       beacon.rollout.taken,
+                       beacon.rollout.answered,
+                       beacon.rollout.failed });
 }
 
 std::vector<std::string>
@@ -150,8 +159,14 @@
   /** Nesting depth of the elements of a beacon: a datagram is an array, a beacon is another one. */
   static constexpr std::size_t BEACON_DEPTH = 2;
 
-  /** Number of elements of a beacon. Earlier builds left out the last one. */
-  static constexpr std::size_t BEACON_FIELDS = 18;
+  /** Number of elements of a beacon that this build knows. */
+  static constexpr std::size_t BEACON_FIELDS = 24;
+
+  /** Number of elements that each beacon has. Earlier builds leave out those that follow. */
+  static constexpr std::size_t BEACON_FIELDS_MIN = 17;
+
+  /** Largest number of elements. Later builds may add some, which are skipped. */
+  static constexpr std::size_t BEACON_FIELDS_MAX = 64;
 
   using field = std::variant<std::string*, std::uint64_t*, std::uint32_t*, bool*>;
 
@@ -203,8 +218,8 @@
       return is_known || stop(frame_fault::wrong_protocol);
     }
     if (depth_ == BEACON_DEPTH && is_beacon_) {
-      is_valid_ = is_valid_ && fields_read_ < BEACON_FIELDS &&
-                  assign(fields_[fields_read_], std::forward<T>(value));
+      is_valid_ = is_valid_ && (fields_read_ >= BEACON_FIELDS ||
+                                assign(fields_[fields_read_], std::forward<T>(value)));
       ++fields_read_;
       return true;
     }
@@ -236,9 +251,10 @@
     if (depth_ == BEACON_DEPTH) {
       beacon_ = {};
       state_ = 0;
+      step_ = 0;
       fields_read_ = 0;
       is_beacon_ = is_beacon;
-      is_valid_ = items == BEACON_FIELDS || items == BEACON_FIELDS - 1;
+      is_valid_ = items >= BEACON_FIELDS_MIN && items <= BEACON_FIELDS_MAX;
     } else if (depth_ > BEACON_DEPTH) {
       is_valid_ = false;
     }
@@ -256,19 +272,22 @@
 
   void finish_beacon()
   {
-    const bool is_complete = is_valid_ && is_beacon_ && !beacon_.id.empty() &&
-                             beacon_.boot_id != 0 && state_ < SERVER_STATE_ROWS.size() &&
-                             is_ip_address(beacon_.host);
+    const bool is_complete =
+      is_valid_ && is_beacon_ && !beacon_.id.empty() && beacon_.boot_id != 0 &&
+      state_ < SERVER_STATE_ROWS.size() && step_ < ROLLOUT_STEP_ROWS.size() &&
+      beacon_.server.version.size() <= VERSION_BYTES_MAX && is_ip_address(beacon_.host);
     if (!is_complete) {
       ++result.rejected_beacons;
       return;
     }
     beacon_.server.state = static_cast<server_state>(state_);
+    beacon_.rollout.step = static_cast<rollout_step>(step_);
     result.beacons.push_back(std::move(beacon_));
   }
 
   node_beacon beacon_;          ///< The beacon that is being read.
   std::uint32_t state_ = 0;     ///< State of its server.
+  std::uint32_t step_ = 0;      ///< Step of its roll-out.
   std::size_t depth_ = 0;       ///< Number of open arrays and objects.
   std::size_t fields_read_ = 0; ///< Elements of the beacon so far.
   bool has_format_ = false;     ///< The format version was read.
@@ -293,7 +312,13 @@
                                                &beacon_.config_version,
                                                &beacon_.is_store_reachable,
                                                &beacon_.is_leaving,
-                                               &beacon_.bulk_wait_ms };
+                                               &beacon_.bulk_wait_ms,
+                                               &beacon_.server.version,
+                                               &beacon_.rollout.order,
+                                               &step_,
+                                               &beacon_.rollout.taken,
+                                               &beacon_.rollout.answered,
+                                               &beacon_.rollout.failed };
 };
 
 } // namespace
--- a/src/connection/connection.h
+++ b/src/connection/connection.h
@@ -18,6 +18,7 @@
 #include "peer_stream_base.h"      // IWYU pragma: export
 #include "quota_codec.h"           // IWYU pragma: export
 #include "response_memory.h"       // IWYU pragma: export
+#include "rollout_news_codec.h"    // IWYU pragma: export
 #include "server_stream_base.h"    // IWYU pragma: export
 #include "shared_body_type.h"      // IWYU pragma: export
 #include "timer_queue_base.h"      // IWYU pragma: export
--- a/src/process/beacon_type.h
+++ b/src/process/beacon_type.h
@@ -1,6 +1,6 @@
 // The beacon: the status of a node and of its local backend server, as the node sends it to peers.
 #pragma once
-#include "member_type.h"
+#include "rollout_type.h"
 
 #include <cstdint>
 #include <string>
@@ -14,6 +14,7 @@
   std::string instance;                    ///< Instance id of the server; empty if none is known.
   std::uint32_t slots = 0;                 ///< Requests that the server processes concurrently.
   server_state state = server_state::none; ///< Whether the server accepts requests.
+  std::string version = {};                ///< Version of its software; empty if unknown.
   bool operator==(const server_status&) const = default;
 };
 
@@ -39,6 +40,7 @@
   bool is_leaving = false;                ///< Whether the node's process is about to end.
   std::uint32_t bulk_wait_ms = 0;         ///< Time for which the response to a download waits until
                                           ///< the link of the VM can carry it.
+  rollout_evidence rollout = {};          ///< What its server did in the roll-out of its service.
   bool operator==(const node_beacon&) const = default;
 };
 
--- a/src/process/config_follower.cpp
+++ b/src/process/config_follower.cpp
@@ -73,7 +73,7 @@
 }
 
 bool
-config_follower::is_selected_as_reader(const peer_table& peers) const
+config_follower::is_selected_as_reader(const peer_table& peers)
 {
   using rank = std::tuple<bool, std::int64_t, std::string_view>;
   // Nodes that reach the store rank first, then those with more processor time; ties are resolved
@@ -116,7 +116,8 @@
   const auto is_self = [this](const candidate& item) {
     return std::get<std::string_view>(item.first) == self_.id;
   };
-  return is_self(first) || (other && is_self(*other));
+  is_first_reader_ = is_self(first);
+  return is_first_reader_ || (other && is_self(*other));
 }
 
 void
@@ -126,6 +127,7 @@
   if (!is_store_reachable_ && now - reachability_changed_at_ > STORE_FAILURE_EXPIRY_MS) {
     set_reachable(true, now);
   }
+  is_first_reader_ = false;
   is_reader_ = has_joined && is_selected_as_reader(peers);
   if (!is_reader_ || is_reading_ || now < next_read_at_) {
     return;
--- a/src/process/config_follower_base.h
+++ b/src/process/config_follower_base.h
@@ -144,6 +144,9 @@
   /** Returns whether this proxy is one of the readers. */
   bool is_reader() const { return is_reader_; }
 
+  /** Returns whether this proxy is the first of the readers, which also decides about roll-outs. */
+  bool is_first_reader() const { return is_first_reader_; }
+
   /** Returns the version in force at this proxy; 0: none. */
   std::uint64_t version() const { return version_; }
 
@@ -159,8 +162,8 @@
   void on(const version_applied& event, const peer_table& peers, mono_ms now);
   /** Determines from the peers' beacons whether this proxy is one of the two readers. With two,
    * updates still arrive while one of them is cut off from the store and this has not been detected
-   * yet. */
-  bool is_selected_as_reader(const peer_table& peers) const;
+   * yet. Sets is_first_reader_. */
+  bool is_selected_as_reader(const peer_table& peers);
   /** Starts a read from the store if this proxy is a reader and a read is due. */
   void read_store(const peer_table& peers, mono_ms now);
   /** Starts a fetch if a peer has a newer configuration and a fetch is allowed now. */
@@ -175,6 +178,7 @@
   bool are_peers_known_ = false;             ///< The directory of peers was read.
   std::uint64_t version_ = 0;                ///< Version in force at this proxy; 0: none.
   bool is_reader_ = false;                   ///< This proxy is one of the readers.
+  bool is_first_reader_ = false;             ///< It is the first of them.
   bool is_reading_ = false;                  ///< A read from the store is pending.
   bool is_store_reachable_ = true;           ///< The latest call to the store succeeded.
   mono_ms reachability_changed_at_ = 0;      ///< When is_store_reachable_ last changed.
--- a/src/process/metrics_type.h
+++ b/src/process/metrics_type.h
@@ -45,13 +45,15 @@
   quota_returned,           ///< Admitted ones of them that never ran, and no longer count.
   quota_refused,            ///< Requests refused because their client account used up its quota.
   quota_datagrams,          ///< Datagrams about quotas sent to other proxies.
-  server_closings, ///< Times that the local server got no requests because it rejected most.
-  sent_to_zones,   ///< Attempts sent to servers in other zones of the region.
-  sent_to_regions, ///< Attempts sent to servers in other regions.
-  server_closings, ///< Times that the local server got no requests because it rejected most.
+  server_closings,  ///< Times that the local server got no requests because it rejected most.
+  sent_to_zones,    ///< Attempts sent to servers in other zones of the region.
+  sent_to_regions,  ///< Attempts sent to servers in other regions.
+  rollout_refusals, ///< Requests that the limits of a roll-out kept from the local server.
+  rollouts_refused, ///< Orders of roll-outs that are invalid.
+  rollout_steps,    ///< Changes of the step or state of a roll-out that this node decided.
 };
 
-inline constexpr enum_table<counter_id, 41> COUNTER_ROWS = { {
+inline constexpr enum_table<counter_id, 44> COUNTER_ROWS = { {
   { counter_id::requests_answered, "requests_answered" },
   { counter_id::requests_not_run, "requests_not_run" },
   { counter_id::requests_unknown, "requests_unknown" },
@@ -90,11 +92,14 @@
   { counter_id::quota_returned, "quota_returned" },
   { counter_id::quota_refused, "quota_refused" },
   { counter_id::quota_datagrams, "quota_datagrams" },
+  { counter_id::server_closings, "server_closings" },
   { counter_id::sent_to_zones, "sent_to_zones" },
   { counter_id::sent_to_regions, "sent_to_regions" },
-  { counter_id::server_closings, "server_closings" },
+  { counter_id::rollout_refusals, "rollout_refusals" },
+  { counter_id::rollouts_refused, "rollouts_refused" },
+  { counter_id::rollout_steps, "rollout_steps" },
 } };
-static_assert(is_complete(COUNTER_ROWS, counter_id::server_closings));
+static_assert(is_complete(COUNTER_ROWS, counter_id::rollout_steps));
 
 /** Returns the name table of counters. */
 constexpr const auto&
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -47,6 +47,19 @@
   return is_new;
 }
 
+bool
+has_rollout_news(const node_beacon& before, const node_beacon& after)
+{
+  if (after.rollout.order == 0) {
+    return false;
+  }
+  const auto is_idle = [](const node_beacon& node) { return node.running + node.waiting == 0; };
+  const bool has_ended =
+    after.rollout.step == rollout_step::full && is_idle(before) != is_idle(after);
+  return before.rollout.order != after.rollout.order || before.rollout.step != after.rollout.step ||
+         before.rollout.failed != after.rollout.failed || has_ended;
+}
+
 beacon_effect
 peer_table::apply_beacon(const node_beacon& beacon, mono_ms now)
 {
@@ -79,7 +92,8 @@
   const bool has_changed = !peer.is_alive || !is_same_process || known.server != beacon.server ||
                            known.host != beacon.host || known.is_leaving != beacon.is_leaving ||
                            known.config_version != beacon.config_version ||
-                           known.is_store_reachable != beacon.is_store_reachable;
+                           known.is_store_reachable != beacon.is_store_reachable ||
+                           has_rollout_news(known, beacon);
   peer.beacon = beacon;
   peer.is_alive = true;
   peer.last_received_at = now;
--- a/src/process/peer_table_base.h
+++ b/src/process/peer_table_base.h
@@ -34,6 +34,11 @@
            ///< the store or intention to leave changed.
 };
 
+/** Returns whether a beacon says something about a roll-out that its decider should learn at once.
+ */
+bool
+has_rollout_news(const node_beacon& before, const node_beacon& after);
+
 /** Stores the latest beacon of each peer and decides which peers are alive. */
 class peer_table
 {
--- a/src/process/proxy_announcements.cpp
+++ b/src/process/proxy_announcements.cpp
@@ -103,6 +103,7 @@
                       { "service", item.service },
                       { "state", enum_name(item.state) },
                       { "slots", item.slots },
+                      { "version", item.version },
                       { "sequence", item.sequence },
                       { "born", item.instance_started_at.value_or(0) },
                       { "effect", enum_name(effect) } });
--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -115,6 +115,7 @@
     return;
   }
   raise_follow_event(newest_config_read{ std::move(text), next });
+  take_rollout_orders(page->records);
 }
 
 void
@@ -124,6 +125,7 @@
   if (const auto* tail = std::get_if<platform::topic_tail>(&response)) {
     report_rejected_records("configuration", tail->rejected_records);
     raise_follow_event(tail_read{ latest_config(tail->records), tail->next });
+    take_rollout_orders(tail->records);
   } else if (std::holds_alternative<platform::tail_trimmed>(response)) {
     write_log(log_event::log_gap, { { "call", "configuration" } });
     raise_follow_event(offset_trimmed{});
--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -92,6 +92,7 @@
   , quotas_(options_.node_id,
             options_.zone,
             { bounds.quota_window_ms, bounds.quota_overage, bounds.quota_slack })
+  , rollouts_({ bounds.exposure_share, bounds.exposure_slack })
   , crash_reminder_random_(self_.boot_id)
   , no_live_peer_since_(started_at_)
 {
@@ -203,6 +204,7 @@
   review_trial(review_tick{ count_other_servers() }, now);
   write_due_suspects(now);
   advance_quotas(now);
+  tick_rollouts(now);
   log_dropped_lines(now);
   advance_discovery();
   probe_server();
@@ -265,6 +267,7 @@
   self_.waiting = load.waiting;
   self_.slowness_permille = load.slowness_permille;
   self_.bulk_wait_ms = load.bulk_wait_ms;
+  self_.rollout = traffic_.evidence();
 }
 
 void
@@ -299,6 +302,7 @@
   if (!new_peers_.empty()) {
     // After the beacon, since a peer accepts crash records only from nodes that it knows.
     tell_new_peers_of_crashes();
+    tell_new_peers_of_rollouts();
   }
   urgent_nodes_.clear();
   new_peers_.clear();
@@ -360,6 +364,8 @@
         receive_crash_records(bytes, datagram.senderAddress()) || have_suspects_changed;
     } else if (has_quota_message(bytes)) {
       receive_quota_message(bytes, datagram.senderAddress());
+    } else if (has_rollout_news(bytes)) {
+      receive_rollout_news(bytes, datagram.senderAddress());
     } else {
       has_changed = receive_beacons(bytes) || has_changed;
     }
@@ -418,7 +424,8 @@
   const bool has_server_changed =
     before.server != beacon.server || before.is_leaving != beacon.is_leaving || !was_alive;
   const bool is_urgent = has_server_changed || is_first_with_version ||
-                         before.is_store_reachable != beacon.is_store_reachable;
+                         before.is_store_reachable != beacon.is_store_reachable ||
+                         has_rollout_news(before, beacon);
   is_peer_view_stale_ = is_peer_view_stale_ || has_server_changed;
   const bool is_replaced = !before.server.instance.empty() &&
                            before.server.instance != beacon.server.instance &&
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -162,6 +162,21 @@
   void finish_fetch(std::uint64_t id, std::optional<std::string> text);
   void accept_config_request(qintptr descriptor);
 
+  // proxy_rollouts.cpp: roll-outs that the operator ordered.
+  void raise_rollout_event(const rollout_event& event);
+  void perform(const rollout_effect& effect);
+  /** Takes the orders among records of the operator's topic. */
+  void take_rollout_orders(const std::vector<platform::keyed_record>& records);
+  void tick_rollouts(mono_ms now);
+  /** Sends what is known of all roll-outs to all nodes, including those that are down. */
+  void send_rollout_news();
+  void tell_new_peers_of_rollouts();
+  void receive_rollout_news(std::string_view datagram, const QHostAddress& sender);
+  void read_status(const read_rollout_status& effect);
+  void write_status(const write_rollout_status& effect);
+  /** Sends this node's beacon early while the decider waits for what it says. */
+  void hasten_evidence(mono_ms now);
+
   // proxy_announcements.cpp: announcements of the local server, readiness checks and metrics.
   void accept_announcements(qintptr descriptor);
   void handle_announcement(http_session& session, const http_request& request);
@@ -212,6 +227,10 @@
   crash_view_ptr suspects_ =
     std::make_shared<const crash_view>();   ///< As the traffic thread has it.
   std::vector<crash_news> crash_news_;      ///< Records that are being sent to all peers.
+  rollout_controller rollouts_;             ///< Knows and decides about roll-outs.
+  int rollout_news_remaining_ = 0;          ///< Remaining number of times that they are sent.
+  rollout_evidence evidence_sent_;          ///< What the latest early beacon said.
+  mono_ms next_evidence_at_ = 0;            ///< Earliest time of the next one.
   trial_review trial_review_;               ///< Reviews crashes of the local server at trials.
   std::uint64_t published_incarnation_ = 0; ///< Process of the local server as last published.
   std::map<request_digest, suspect_write> suspect_writes_; ///< Calls that are due or under way.
--- a/src/process/proxy_server.cpp
+++ b/src/process/proxy_server.cpp
@@ -25,6 +25,7 @@
 
 static constexpr unsigned STATUS_MISDIRECTED = 421;
 static constexpr unsigned STATUS_INTERNAL_ERROR = 500;
+static constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
 
 slot_ticket
 proxy_traffic::add_server_request(const request_origin& origin, call_open&& call)
@@ -64,6 +65,12 @@
   if (refuse_if_server_is_closed(id)) {
     return id;
   }
+  const load_report load = current_load();
+  if (!rollout_gate_.try_admit({ load.running + load.waiting, server_.slots }, now)) {
+    count(counter_id::rollout_refusals);
+    fail_server_request(id, failure_reason::queue_full, outcome::not_run, 0);
+    return id;
+  }
   // The response to a download has to wait for those before it. If it would be late even if the
   // server started it now, it is refused at once.
   const bool is_bulk = local == nullptr && request.call.kind == work_class::bulk;
@@ -162,6 +169,8 @@
   request.limited = server_limit_.record_start(slots_.report().running, now);
   apply_server_limit();
   count(counter_id::admitted);
+  rollout_gate_.record_sent();
+  update_evidence();
   log_suspect(request);
   raise_crash_event(request_sent{ id });
   request_head head = request.call.head;
@@ -223,6 +232,14 @@
     raise_crash_event(
       request_survived{ identity_of(request), id, request.started_at, has_succeeded });
   }
+  if (verdict == platform::response_verdict::valid ||
+      verdict == platform::response_verdict::invalid) {
+    // At its deadline a server gives up a request, whatever its version.
+    rollout_gate_.record_answer(verdict == platform::response_verdict::invalid ||
+                                (response.head.status >= STATUS_INTERNAL_ERROR &&
+                                 response.head.status != STATUS_GATEWAY_TIMEOUT));
+    update_evidence();
+  }
   if (verdict == platform::response_verdict::not_run) {
     fail_server_request(id, failure_reason::shed, outcome::not_run, 0);
     return;
@@ -277,6 +294,10 @@
   found->second.stream.reset();
   raise_limit_event(limit_inconclusive{ found->second.limited });
   raise_slot_event(slot_finished{ id, false });
+  if (why == http_client_error::cut || why == http_client_error::malformed) {
+    rollout_gate_.record_answer(true);
+    update_evidence();
+  }
   if (why == http_client_error::never_sent) {
     raise_crash_event(connection_failed{});
   } else if (why == http_client_error::malformed) {
--- a/src/process/proxy_traffic.cpp
+++ b/src/process/proxy_traffic.cpp
@@ -70,6 +70,7 @@
       std::make_shared<response_memory>(options.memory_bytes / RESPONSE_MEMORY_DIVISOR))
   , bulk_pacer_(options.link_bytes_per_ms)
   , upload_intake_(options.link_bytes_per_ms)
+  , rollout_gate_(self.id)
   , crash_detector_(random_source(self.boot_id))
 {
   proxy_.self = self;
@@ -197,7 +198,7 @@
 {
   post([this, view = std::move(view)] {
     const mono_ms now = read_clocks().mono;
-    set_peer_view(proxy_, view);
+    set_peer_view(proxy_, view, now);
     proxy_.tracker.remove_departed(*view);
     for (const auto& [id, node] : *view) {
       if (id != options_.node_id) {
@@ -238,6 +239,44 @@
   });
 }
 
+void
+proxy_traffic::set_rollouts(rollout_view_ptr rollouts)
+{
+  post([this, rollouts = std::move(rollouts)] {
+    const mono_ms now = read_clocks().mono;
+    proxy_.rollouts = rollouts;
+    rollout_gate_.set_rollouts(rollouts, now);
+    set_peer_view(proxy_, proxy_.view, now);
+    update_evidence();
+  });
+}
+
+void
+proxy_traffic::update_evidence()
+{
+  const rollout_evidence& evidence = rollout_gate_.evidence();
+  if (evidence_order_ != evidence.order) {
+    evidence_order_ = 0;
+  }
+  evidence_step_ = static_cast<std::uint32_t>(evidence.step);
+  evidence_taken_ = evidence.taken;
+  evidence_answered_ = evidence.answered;
+  evidence_failed_ = evidence.failed;
+  evidence_order_ = evidence.order;
+}
+
+rollout_evidence
+proxy_traffic::evidence() const
+{
+  const std::uint64_t order = evidence_order_;
+  const rollout_evidence evidence{ order,
+                                   static_cast<rollout_step>(evidence_step_.load()),
+                                   evidence_taken_,
+                                   evidence_answered_,
+                                   evidence_failed_ };
+  return evidence_order_ == order ? evidence : rollout_evidence{};
+}
+
 void
 proxy_traffic::report_server_silent()
 {
@@ -267,6 +306,8 @@
     }
     server_ = status;
     server_incarnation_ = incarnation;
+    rollout_gate_.set_server(status, read_clocks().mono);
+    update_evidence();
     server_limit_.handle(limit_server_changed{ status.slots, is_new }, read_clocks().mono);
     const bool is_closed = is_server_closed();
     applied_limit_ = usable_slots();
--- a/src/process/proxy_traffic_base.h
+++ b/src/process/proxy_traffic_base.h
@@ -108,6 +108,12 @@
   /** Replaces the limits on client accounts for new requests. */
   void set_quota_limits(quota_limits_ptr limits);
 
+  /** Replaces the roll-outs that are known. */
+  void set_rollouts(rollout_view_ptr rollouts);
+
+  /** Returns what the local server did in the roll-out of its service. */
+  rollout_evidence evidence() const;
+
   /** Refuses new requests, of callers and to the local server, from `refuses_from` on if their
    * deadline is after `shutdown_at`, the time at which open requests will be ended. */
   void plan_shutdown(mono_ms refuses_from, mono_ms shutdown_at);
@@ -237,6 +243,8 @@
   void post(std::function<void()> work);
   void accept_callers();
   void accept_peers();
+  /** Publishes what the gate has counted to the control thread. */
+  void update_evidence();
   /** Updates the values that the control thread reads. */
   void update_load_counters();
   void drain(mono_ms shutdown_at);
@@ -400,6 +408,7 @@
   std::uint32_t applied_limit_ = 0;       ///< Limit that the slot queue was told last.
   server_status server_;                  ///< Status of the local server.
   std::uint64_t server_incarnation_ = 0;  ///< Number of its process.
+  rollout_gate rollout_gate_;             ///< Limits what the server gets in a roll-out.
   crash_detector crash_detector_;         ///< Finds the requests on which it crashes.
   bool is_port_check_pending_ = false;    ///< A check of its port is scheduled or under way.
   mono_ms next_port_check_at_ = 0;        ///< Earliest time of the next check.
@@ -419,6 +428,13 @@
   std::atomic<std::uint32_t> slowness_permille_{ 0 };     ///< Slowness of the server.
   std::atomic<std::uint32_t> bulk_wait_ms_{ 0 };          ///< Backlog of responses to downloads.
 
+  // The number of the order is cleared while the counts of another one are being written.
+  std::atomic<std::uint64_t> evidence_order_{ 0 };    ///< Order to which the counts belong.
+  std::atomic<std::uint32_t> evidence_step_{ 0 };     ///< Step in force.
+  std::atomic<std::uint64_t> evidence_taken_{ 0 };    ///< Requests sent to the server.
+  std::atomic<std::uint64_t> evidence_answered_{ 0 }; ///< Requests that it answered.
+  std::atomic<std::uint64_t> evidence_failed_{ 0 };   ///< Of these, failures.
+
   std::thread thread_; ///< Declared last, so that it is destroyed before the members that it uses.
 };
 
--- a/src/process/server_watch.cpp
+++ b/src/process/server_watch.cpp
@@ -5,6 +5,10 @@
 
 namespace shallotfield {
 
+/** Version of a server whose heartbeats name none. An empty version means that no heartbeat has
+ * arrived yet. */
+static constexpr std::string_view NO_VERSION = "-";
+
 /** Maximum number of deregistrations that are stored. It covers the few replacements of a VM's
  * server that occur while heartbeats of a former instance may still arrive. */
 static constexpr std::size_t DEREGISTRATIONS_MAX = 32;
@@ -60,7 +64,11 @@
   if (!has_left_ && from.cold_ms > 0) {
     state = server_state::cold;
   }
-  const server_status next{ from.service, from.instance, from.slots, state };
+  const server_status next{ from.service,
+                            from.instance,
+                            from.slots,
+                            state,
+                            from.version.empty() ? std::string(NO_VERSION) : from.version };
   const bool has_changed = !is_same_process || next != current_status_;
   current_status_ = next;
   instance_started_at_ = from.instance_started_at;
@@ -127,7 +135,7 @@
   }
   needs_confirmation_ = false;
   is_probed_only_ = true;
-  current_status_ = { service, instance, slots, server_state::ready };
+  current_status_ = { service, instance, slots, server_state::ready, "" };
   ++incarnation_;
   last_received_at_ = now;
   return true;
--- a/src/process/server_watch_base.h
+++ b/src/process/server_watch_base.h
@@ -21,6 +21,7 @@
   std::int64_t cold_ms = 0; ///< Remaining warm-up time, in which it is slow; 0: warm.
   std::optional<unix_ms> instance_started_at; ///< Start of this incarnation by the server's clock.
   std::uint64_t sequence = 0;                 ///< Increases with each heartbeat of an incarnation.
+  std::string version; ///< Version of its software; empty if it announces none.
 };
 
 /** How a heartbeat affected the state of the server. */
--- a/src/request/exchange_policy.cpp
+++ b/src/request/exchange_policy.cpp
@@ -75,6 +75,8 @@
   /** Chooses a server that was not tried yet and sends the request to it. Returns false if there is
    * none, or none with capacity. */
   bool try_server();
+  /** Chooses a server among those of the version that the request goes to. */
+  choice_result choose(const choice_request& request);
   /** Sends a request that is rejected to the server of its next trial. Returns false if there is
    * none. */
   bool try_trial_server(const suspect_trial_due& trial);
@@ -297,8 +299,7 @@
   request.has_region_capacity = [&](const std::string& region) {
     return proxy_.congestion.has_capacity(region, request.expected_bytes, now_);
   };
-  const choice_result result =
-    choose_server(proxy_.servers, proxy_.tracker, request, now_, proxy_.random);
+  const choice_result result = choose(request);
   if (const auto* full = std::get_if<no_capacity>(&result)) {
     record_retry_after(full->wait_ms);
     exchange_.found_full_server = true;
@@ -311,6 +312,21 @@
   return true;
 }
 
+choice_result
+exchange_handler::choose(const choice_request& request)
+{
+  const rollout_record* rollout = find_rollout(*proxy_.rollouts, exchange_.service);
+  if (rollout != nullptr && draw_target(*rollout, proxy_.random)) {
+    const choice_result result =
+      choose_server(proxy_.target_servers, proxy_.tracker, request, now_, proxy_.random);
+    // At the last step there is no other server.
+    if (std::holds_alternative<server_choice>(result) || rollout->step == rollout_step::full) {
+      return result;
+    }
+  }
+  return choose_server(proxy_.servers, proxy_.tracker, request, now_, proxy_.random);
+}
+
 bool
 exchange_handler::try_trial_server(const suspect_trial_due& trial)
 {
@@ -617,10 +633,22 @@
 }
 
 void
-set_peer_view(proxy_state& proxy, peer_view_ptr view)
+set_peer_view(proxy_state& proxy, peer_view_ptr view, mono_ms now)
 {
   proxy.view = std::move(view);
-  proxy.servers = server_index(*proxy.view, proxy.self);
+  if (proxy.rollouts->empty()) {
+    proxy.servers = server_index(*proxy.view, proxy.self);
+    proxy.target_servers = {};
+    return;
+  }
+  const auto includes = [&](rollout_part part) {
+    return [&proxy, part, now](const node_beacon& node) {
+      return part_for_callers(find_rollout(*proxy.rollouts, node.server.service), node, now) ==
+             part;
+    };
+  };
+  proxy.servers = server_index(*proxy.view, proxy.self, includes(rollout_part::established));
+  proxy.target_servers = server_index(*proxy.view, proxy.self, includes(rollout_part::target));
 }
 
 std::vector<exchange_effect>
--- a/src/request/exchange_policy.h
+++ b/src/request/exchange_policy.h
@@ -8,6 +8,7 @@
 #include "crash_policy.h"
 #include "fleet_retry_policy.h"
 #include "quota_policy.h"
+#include "rollout_policy.h"
 #include "server_choice_policy.h"
 #include "table/failure_response_table.h"
 
@@ -157,10 +158,13 @@
 /** State that the requests of one proxy share. */
 struct proxy_state
 {
-  node_beacon self;              ///< This node.
-  service_id caller_service;     ///< Service on the VM of this node, which its callers belong to.
-  peer_view_ptr view;            ///< The live nodes, including this one.
-  server_index servers;          ///< The servers of these nodes.
+  node_beacon self;            ///< This node.
+  service_id caller_service;   ///< Service on the VM of this node, which its callers belong to.
+  peer_view_ptr view;          ///< The live nodes, including this one.
+  server_index servers;        ///< The servers of these nodes.
+  server_index target_servers; ///< Servers that get the share of a version in a roll-out.
+  /** The roll-outs that are known. */
+  rollout_view_ptr rollouts = std::make_shared<const rollout_view>();
   server_tracker tracker;        ///< Load and health of the servers.
   congestion_control congestion; ///< Limits the traffic to other regions.
   zone_spill spill;              ///< Limits what leaves the zone.
@@ -188,7 +192,7 @@
 
 /** Replaces the view of the live nodes, which includes this one. */
 void
-set_peer_view(proxy_state& proxy, peer_view_ptr view);
+set_peer_view(proxy_state& proxy, peer_view_ptr view, mono_ms now = 0);
 
 /**
  * Handles an event of a request. Updates the request and `proxy`, the state that the requests of
--- a/src/request/server_choice_policy.cpp
+++ b/src/request/server_choice_policy.cpp
@@ -280,12 +280,14 @@
   return score;
 }
 
-server_index::server_index(const peer_view& view, const node_beacon& self)
+server_index::server_index(const peer_view& view,
+                           const node_beacon& self,
+                           const std::function<bool(const node_beacon&)>& is_included)
 {
   for (const auto& [id, node] : view) {
     const bool takes_work =
       node.server.state == server_state::ready || node.server.state == server_state::cold;
-    if (takes_work) {
+    if (takes_work && is_included(node)) {
       const auto distance = static_cast<std::size_t>(distance_of(node, self));
       by_service_[node.server.service][distance].push_back(&node);
     }
--- a/src/request/server_choice_policy.h
+++ b/src/request/server_choice_policy.h
@@ -106,7 +106,15 @@
 
   /** `view` holds the live nodes, including this one, which is `self`. The index refers to the
    * nodes of the view, which must live as long. */
-  server_index(const peer_view& view, const node_beacon& self);
+  server_index(const peer_view& view, const node_beacon& self)
+    : server_index(view, self, [](const node_beacon&) { return true; })
+  {
+  }
+
+  /** The same with those servers only that `is_included` accepts. */
+  server_index(const peer_view& view,
+               const node_beacon& self,
+               const std::function<bool(const node_beacon&)>& is_included);
 
   /** Returns the servers of a service, or nullptr if there are none. The order within a list has no
    * meaning, so that a draw may change it. */
--- /dev/null
+++ b/tests/request/rollout_policy_test.cpp
@@ -0,0 +1,137 @@
+// The part of a server in a roll-out, and the gate in front of it.
+#include "request/request.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+
+namespace {
+
+constexpr mono_ms NOW = 50'000;
+
+rollout_record
+make_record(rollout_step step)
+{
+  rollout_record record;
+  record.order = { "catalogue", "v2", 15'000, 7 };
+  record.began_at = NOW;
+  record.heard_at = NOW;
+  record.step = step;
+  record.canaries = { "new-1" };
+  record.server_rate = 10;
+  record.share_permille = ROLLOUT_SHARES_PERMILLE.at(static_cast<std::size_t>(step));
+  return record;
+}
+
+rollout_gate
+make_gate(const rollout_record& record, const std::string& version, const node_id& id = "new-1")
+{
+  rollout_gate gate(id);
+  gate.set_server({ "catalogue", "i-1", 6, server_state::ready, version }, NOW);
+  gate.set_rollouts(std::make_shared<const rollout_view>(rollout_view{ { "catalogue", record } }),
+                    NOW);
+  return gate;
+}
+
+/** Counts the requests that a gate admits in a second, with one every 10 ms. */
+int
+admitted_in_a_second(rollout_gate& gate, mono_ms from)
+{
+  int admitted = 0;
+  for (mono_ms at = from; at < from + 1000; at += 10) {
+    admitted += gate.try_admit({ 0, 6 }, at) ? 1 : 0;
+  }
+  return admitted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rollout_gates)
+
+BOOST_AUTO_TEST_CASE(without_an_order_everything_passes)
+{
+  rollout_gate gate("new-1");
+  gate.set_server({ "catalogue", "i-1", 6, server_state::ready, "v2" }, NOW);
+  BOOST_TEST(admitted_in_a_second(gate, NOW) == 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_of_the_target_version_takes_no_more_than_its_rate_whoever_asks)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::canary), "v2");
+  const int admitted = admitted_in_a_second(gate, NOW);
+  BOOST_TEST(admitted >= 8);
+  BOOST_TEST(admitted <= 13);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_is_no_canary_takes_nothing_at_that_step)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::canary), "v2", "new-2");
+  BOOST_TEST(admitted_in_a_second(gate, NOW) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_permission_that_is_not_renewed_ends)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::part), "v2");
+  BOOST_TEST(admitted_in_a_second(gate, NOW) > 0);
+  BOOST_TEST(admitted_in_a_second(gate, NOW + 4000) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_was_rolled_back_takes_nothing_and_the_others_take_all)
+{
+  rollout_record record = make_record(rollout_step::most);
+  record.state = rollout_state::rolled_back;
+  rollout_gate target = make_gate(record, "v2");
+  rollout_gate other = make_gate(record, "v1", "old-1");
+  BOOST_TEST(admitted_in_a_second(target, NOW) == 0);
+  BOOST_TEST(admitted_in_a_second(other, NOW) == 100);
+}
+
+BOOST_AUTO_TEST_CASE(at_the_last_step_the_other_servers_take_nothing)
+{
+  const rollout_record record = make_record(rollout_step::full);
+  rollout_gate target = make_gate(record, "v2");
+  rollout_gate other = make_gate(record, "v1", "old-1");
+  BOOST_TEST(admitted_in_a_second(target, NOW) == 100);
+  BOOST_TEST(admitted_in_a_second(other, NOW) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_beside_a_restarted_proxy_takes_nothing_until_its_version_is_known)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::canary), "");
+  BOOST_TEST(admitted_in_a_second(gate, NOW) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_fails_often_stops_before_the_decider_has_heard_of_it)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::part), "v2");
+  for (int i = 0; i < 60; ++i) {
+    gate.record_answer(i % 2 == 0);
+  }
+  BOOST_TEST(admitted_in_a_second(gate, NOW) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(counts_begin_anew_with_each_order_and_each_server)
+{
+  rollout_gate gate = make_gate(make_record(rollout_step::part), "v2");
+  gate.record_sent();
+  gate.record_answer(true);
+  BOOST_TEST(gate.evidence().failed == 1U);
+  gate.set_server({ "catalogue", "i-2", 6, server_state::ready, "v2" }, NOW);
+  BOOST_TEST((gate.evidence() == rollout_evidence{ 7, rollout_step::part, 0, 0, 0 }));
+}
+
+BOOST_AUTO_TEST_CASE(the_share_of_each_step_is_drawn)
+{
+  random_source random(5);
+  for (const enum_row<rollout_step>& row : ROLLOUT_STEP_ROWS) {
+    const rollout_record record = make_record(row.value);
+    int drawn = 0;
+    for (int i = 0; i < 10'000; ++i) {
+      drawn += draw_target(record, random) ? 1 : 0;
+    }
+    const auto share = ROLLOUT_SHARES_PERMILLE.at(static_cast<std::size_t>(row.value));
+    BOOST_TEST(std::abs(drawn - static_cast<int>(share) * 10) < 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
