Bound what a proxy admits of an account before it is told a limit

Found in review: while an account isn't limited, one proxy admitted any number of its requests for the tenths of a second until limits arrive. Each proxy now keeps a bucket of the whole quota. An account in debt that paused got a fraction of 0/0, which counted as unlimited; it is 0 until the debt is repaid.

--- a/src/process/quota_ledger.cpp
+++ b/src/process/quota_ledger.cpp
@@ -286,8 +286,12 @@
     // The debt is bounded by what may be counted in one window, since older use no longer counts.
     item.level = std::clamp(item.level, -in_window, share * burst);
     const double target = rate + item.level * MS_PER_S / LEVEL_TIME_MS;
-    const bool is_within = item.usage.asked_per_s <= target;
-    item.admitted_fraction = is_within ? 1 : std::max(target, 0.0) / item.usage.asked_per_s;
+    if (item.usage.asked_per_s <= 0) {
+      // An account that paused while it is in debt must not begin with a free second.
+      item.admitted_fraction = target > 0 ? 1 : 0;
+    } else {
+      item.admitted_fraction = std::clamp(target / item.usage.asked_per_s, 0.0, 1.0);
+    }
   }
 }
 
--- a/src/request/quota_policy.cpp
+++ b/src/request/quota_policy.cpp
@@ -14,6 +14,10 @@
 /** Retry-after time while no limits are in force. They usually arrive within this time. */
 static constexpr std::int64_t RETRY_AFTER_NO_LIMITS_MS = 300;
 
+/** Part of the slack of the quota that one proxy may admit beyond rate and burst while it is told
+ * no limit. */
+static constexpr double UNLIMITED_SLACK_PART = 0.5;
+
 /** Part of the slack that proxies without limits in force share. */
 static constexpr double OWN_SLACK_PART = 0.5;
 
@@ -32,6 +36,26 @@
   return item;
 }
 
+bool
+quota_gate::try_take_whole(account_state& state, const client_account& account, mono_ms now) const
+{
+  const double cap =
+    std::max(1.0, account.burst_requests + UNLIMITED_SLACK_PART * limits_->tolerance.slack);
+  if (state.whole_filled_at == 0) {
+    state.whole_tokens = cap;
+  } else {
+    const auto elapsed = static_cast<double>(std::max<mono_ms>(now - state.whole_filled_at, 0));
+    state.whole_tokens =
+      std::min(cap, state.whole_tokens + account.rate_per_s * elapsed / MS_PER_S);
+  }
+  state.whole_filled_at = now;
+  if (state.whole_tokens < 1) {
+    return false;
+  }
+  state.whole_tokens -= 1;
+  return true;
+}
+
 quota_decision
 quota_gate::decide_by_fraction(account_state& state, double fraction, std::mt19937_64& random)
 {
@@ -102,6 +126,11 @@
     const auto limit = limits_->admitted_fractions.find(digest);
     const double fraction = limit == limits_->admitted_fractions.end() ? 1 : limit->second;
     decision = decide_by_fraction(state, fraction, random);
+    // A limit takes some tenths of a second to arrive; until then one proxy admits no more than the
+    // whole quota.
+    if (std::holds_alternative<quota_admitted>(decision) && !try_take_whole(state, account, now)) {
+      decision = quota_refused{ RETRY_AFTER_NO_LIMITS_MS };
+    }
   } else {
     decision = decide_by_own_share(state, account, now, random);
   }
--- a/src/request/quota_policy.h
+++ b/src/request/quota_policy.h
@@ -56,8 +56,14 @@
     bool uses_own_share = false;  ///< Whether the latest request found no limits in force.
     double tokens = 0;            ///< Token bucket of this proxy's own share.
     mono_ms tokens_filled_at = 0; ///< Time up to which tokens were added.
+    double whole_tokens = 0;      ///< Token bucket of the whole quota.
+    mono_ms whole_filled_at = 0;  ///< Time up to which its tokens were added; 0: it is full.
   };
 
+  /** Takes a token of the whole quota, which this proxy alone must not exceed. Returns whether
+   * there is one. */
+  bool try_take_whole(account_state& state, const client_account& account, mono_ms now) const;
+
   quota_decision decide_by_fraction(account_state& state, double fraction, std::mt19937_64& random);
   quota_decision decide_by_own_share(account_state& state,
                                      const client_account& account,
