Abort no caller's connection that waits for this proxy

Found in review: a connection whose first response was still due counted as stalled under memory pressure, so that a pipelining caller could lose requests that were at work. A connection that gave way is refused once only.

--- a/src/connection/caller_stream.cpp
+++ b/src/connection/caller_stream.cpp
@@ -219,7 +219,8 @@
   }
   record_bytes(new_bytes);
   if (bytes != partial_lease_.bytes()) {
-    if (!partial_lease_.try_resize(bytes, read_clocks().mono)) {
+    const bool has_room = partial_lease_.try_resize(bytes, read_clocks().mono);
+    if (!has_room && !is_closing_) {
       refuse(STATUS_UNAVAILABLE, "no_memory");
       return;
     }
@@ -247,9 +248,11 @@
 void
 caller_stream::update_holder()
 {
-  const bool has_waiting_responses = std::any_of(
-    open_.begin(), open_.end(), [](const open_request& item) { return item.response.has_value(); });
-  if (partial_lease_.bytes() > 0 || stream_->unsent_bytes() > 0 || has_waiting_responses) {
+  // While the first request has no response, the connection waits for this proxy and not the other
+  // way round; aborting it would cut requests that are at work.
+  const bool waits_for_proxy = !open_.empty() && !open_.front().response;
+  const bool holds_partial = partial_lease_.bytes() > 0 && !is_reading_paused_;
+  if (stream_->unsent_bytes() > 0 || (holds_partial && !waits_for_proxy)) {
     holder_.enter(read_clocks().mono);
   } else {
     marked_bytes_ = 0;
