--- a/src/process/proxy_intake.cpp
+++ b/src/process/proxy_intake.cpp
@@ -11,6 +11,7 @@
 proxy_traffic::handle_offer(session_id id, const call_credit& offer)
 {
   const mono_ms now = read_clocks().mono;
+  apply_server_limit(); // The time of the next probe may have come.
   if (slots_.report().slots == 0) {
     send_to_session(
       id,
--- a/src/process/proxy_server_limit.cpp
+++ b/src/process/proxy_server_limit.cpp
@@ -44,7 +44,10 @@
   }
   if (has_closed) {
     // The other proxies send the probe once they know that one is due.
-    timers_.schedule(server_limit_.wait_ms(now), [this] { announce_server_limit(); });
+    timers_.schedule(server_limit_.wait_ms(now), [this] {
+      apply_server_limit();
+      announce_server_limit();
+    });
   }
 }
 
