--- a/src/process/proxy_callers.cpp
+++ b/src/process/proxy_callers.cpp
@@ -377,7 +377,10 @@
   const auto [exchange_id, attempt] = target->second;
   link.calls.erase(target);
   exchange& from = exchanges_.at(exchange_id);
-  offer->attempt.timeout_ms -= read_clocks().mono - offer->offered_at;
+  // A deadline that has passed is noticed by its timer, and the other proxy has to get a valid
+  // time.
+  offer->attempt.timeout_ms =
+    std::max<std::int64_t>(offer->attempt.timeout_ms - (read_clocks().mono - offer->offered_at), 1);
   call_open open = make_call(from, offer->attempt);
   open.id = link.next_call++;
   link.calls[open.id] = { exchange_id, attempt };
@@ -424,7 +427,8 @@
   if (from == exchanges_.end()) {
     return;
   }
-  offer->attempt.timeout_ms -= read_clocks().mono - offer->offered_at;
+  offer->attempt.timeout_ms =
+    std::max<std::int64_t>(offer->attempt.timeout_ms - (read_clocks().mono - offer->offered_at), 1);
   call_open call = make_call(from->second, offer->attempt);
   call.id = grant.id;
   found->second.stream->send(call);
