Harden roll-outs against restarts, later orders and services still to come

Found in review: a completed roll-out that was read after a restart excluded other versions again; an older order could overwrite the status of a later one; a node that decides again trusted what it had read before; an order that came ahead of the configuration with its service was dropped; servers reported evidence for good after the final state.

--- a/src/process/proxy_config.cpp
+++ b/src/process/proxy_config.cpp
@@ -150,6 +150,7 @@
       table_ = std::make_shared<const route_table>(std::move(document));
       configs_.add(table_->version(), effect.text);
       traffic_.set_route_table(table_);
+      retake_rollout_orders();
       apply_quotas();
       count(counter_id::versions_applied);
       write_log(log_event::version_in_force,
--- a/src/process/proxy_node_base.h
+++ b/src/process/proxy_node_base.h
@@ -167,6 +167,8 @@
   void perform(const rollout_effect& effect);
   /** Takes the orders among records of the operator's topic. */
   void take_rollout_orders(const std::vector<platform::keyed_record>& records);
+  /** Takes the orders again whose service was unknown. */
+  void retake_rollout_orders();
   void tick_rollouts(mono_ms now);
   /** Sends what is known of all roll-outs to all nodes, including those that are down. */
   void send_rollout_news();
@@ -225,10 +227,12 @@
   int broadcasts_remaining_ = 0;       ///< Remaining broadcasts that announce a new version.
   crash_registry crashes_;             ///< Crashes of all servers.
   crash_view_ptr suspects_ =
-    std::make_shared<const crash_view>();   ///< As the traffic thread has it.
-  std::vector<crash_news> crash_news_;      ///< Records that are being sent to all peers.
-  rollout_controller rollouts_;             ///< Knows and decides about roll-outs.
-  int rollout_news_remaining_ = 0;          ///< Remaining number of times that they are sent.
+    std::make_shared<const crash_view>(); ///< As the traffic thread has it.
+  std::vector<crash_news> crash_news_;    ///< Records that are being sent to all peers.
+  rollout_controller rollouts_;           ///< Knows and decides about roll-outs.
+  int rollout_news_remaining_ = 0;        ///< Remaining number of times that they are sent.
+  std::vector<platform::keyed_record> unknown_service_orders_; ///< Orders for services that no
+                                                               ///< configuration names yet.
   rollout_evidence evidence_sent_;          ///< What the latest early beacon said.
   mono_ms next_evidence_at_ = 0;            ///< Earliest time of the next one.
   trial_review trial_review_;               ///< Reviews crashes of the local server at trials.
--- a/src/process/proxy_rollouts.cpp
+++ b/src/process/proxy_rollouts.cpp
@@ -9,6 +9,9 @@
 
 namespace shallotfield {
 
+/** Number of orders that are kept until a configuration names their service. */
+static constexpr std::size_t UNKNOWN_SERVICE_ORDERS_MAX = 64;
+
 /** Timeout of a call about the state of a roll-out. */
 static constexpr std::int64_t STATUS_TIMEOUT_MS = 800;
 
@@ -55,6 +58,10 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(order, platform::parse_rollout_order(record));
         if (table_ && table_->find_service(order.service) == nullptr) {
+          // A configuration that is still to come may have the service.
+          if (unknown_service_orders_.size() < UNKNOWN_SERVICE_ORDERS_MAX) {
+            unknown_service_orders_.push_back(record);
+          }
           return leaf::new_error(rollout_fault::unknown_service);
         }
         raise_rollout_event(rollout_order_read{ std::move(order) });
@@ -69,6 +76,14 @@
   }
 }
 
+void
+proxy_node::retake_rollout_orders()
+{
+  if (!unknown_service_orders_.empty()) {
+    take_rollout_orders(std::exchange(unknown_service_orders_, {}));
+  }
+}
+
 void
 proxy_node::tick_rollouts(mono_ms now)
 {
--- a/src/process/rollout_controller.cpp
+++ b/src/process/rollout_controller.cpp
@@ -9,6 +9,10 @@
 
 namespace shallotfield {
 
+/** Age of a final state of which the time is not known. Servers of other versions that run by now
+ * were started after it. */
+static constexpr mono_ms PAST_FINAL_AGE_MS = 60'000;
+
 /** Interval at which a decider repeats the record of a running roll-out. Servers of the target
  * version stop taking requests when they have heard nothing for several of them. */
 static constexpr mono_ms ANNOUNCEMENT_INTERVAL_MS = 500;
@@ -189,6 +193,10 @@
   rollout_record& record = found->second;
   deliberation& with = deliberate(record, now);
   with.is_call_pending = false;
+  if (event.status && event.status->order > record.order.number) {
+    with.next_call_at = now + STATUS_RETRY_DELAY_MS;
+    return; // The status of a later order, which this node has not heard of yet, stays.
+  }
   const bool is_ours = event.status && event.status->order == record.order.number &&
                        event.status->target_version == record.order.target_version;
   if (is_ours) {
@@ -198,7 +206,11 @@
     }
     if (event.status->state != rollout_state::running) {
       const bool has_changed = record.state != event.status->state || !record.is_stored;
-      record.final_at = record.state == event.status->state ? record.final_at : now;
+      if (record.state != event.status->state) {
+        // A state that was reached before this process knew of the order is past.
+        const bool is_past = record.step == rollout_step::hold;
+        record.final_at = is_past ? std::max<mono_ms>(now - PAST_FINAL_AGE_MS, 1) : now;
+      }
       record.state = event.status->state;
       record.is_stored = true;
       if (has_changed) {
@@ -499,6 +511,7 @@
     // Another node decides, and may not know what this one wanted.
     for (auto& [service, with] : deliberations_) {
       with.wants_completed = false;
+      with.stored.reset();
       with.samples.clear();
     }
     return;
--- a/src/request/rollout_policy.cpp
+++ b/src/request/rollout_policy.cpp
@@ -100,7 +100,9 @@
 rollout_gate::update(mono_ms now)
 {
   const rollout_record* rollout = find_rollout(*rollouts_, server_.service);
-  const std::uint64_t order = rollout == nullptr ? 0 : rollout->order.number;
+  // Nothing is decided by what servers do after the final state.
+  const bool is_running = rollout != nullptr && rollout->state == rollout_state::running;
+  const std::uint64_t order = is_running ? rollout->order.number : 0;
   if (order != evidence_.order || counted_instance_ != server_.instance) {
     evidence_ = {};
     evidence_.order = order;
