Answer a proxy that has just started at once, and limit small shares

A proxy that has just started has no limits and keeps to its own share of each quota, which for a small account is nothing. Before, it waited for the next regular answer, up to 0.3 s.

--- a/src/process/quota_control.cpp
+++ b/src/process/quota_control.cpp
@@ -132,13 +132,16 @@
 {
   const std::vector<account_limit> limits = ledger_.limits();
   apply_answer(effects, { now, 0, UINT64_MAX, limits }, now);
-  if (now < next_answer_at_ && !has_changed(answered_, limits)) {
-    return;
+  const bool is_due = now >= next_answer_at_ || has_changed(answered_, limits);
+  if (is_due) {
+    next_answer_at_ = now + KEEPALIVE_INTERVAL_MS;
+    answered_ = limits;
+    answered_peers_.clear();
   }
-  next_answer_at_ = now + KEEPALIVE_INTERVAL_MS;
-  answered_ = limits;
   for (const node_id& peer : fleet_.zone_peers()) {
-    if (const auto sent_at = ledger_.latest_report_of(peer, now)) {
+    // A proxy that has just started is answered at once, since it has no limits yet.
+    const std::optional<mono_ms> sent_at = ledger_.latest_report_of(peer, now);
+    if (sent_at && answered_peers_.insert(peer).second) {
       effects.emplace_back(
         send_quota_message{ { peer }, quota_answer{ *sent_at, 0, UINT64_MAX, limits } });
     }
--- a/src/process/quota_control.h
+++ b/src/process/quota_control.h
@@ -6,6 +6,7 @@
 #include "quota_limits_table.h"
 
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -92,6 +93,7 @@
   quota_report_filter node_filter_;     ///< What reports to the ledgers of the zone name.
   quota_report_filter zone_filter_;     ///< What reports to the ledgers of other zones name.
   std::vector<account_limit> answered_; ///< Limits as the proxies of the zone were told them.
+  std::set<node_id> answered_peers_;    ///< Proxies of the zone that the latest answers went to.
   std::set<account_digest> logged_;     ///< Accounts that were last logged as limited.
   mono_ms next_fleet_update_at_ = 0;
   mono_ms next_report_at_ = 0;
--- a/src/process/quota_ledger.cpp
+++ b/src/process/quota_ledger.cpp
@@ -286,12 +286,13 @@
     // The debt is bounded by what may be counted in one window, since older use no longer counts.
     item.level = std::clamp(item.level, -in_window, share * burst);
     const double target = rate + item.level * MS_PER_S / LEVEL_TIME_MS;
-    if (item.usage.asked_per_s <= 0) {
-      // An account that paused while it is in debt must not begin with a free second.
-      item.admitted_fraction = target > 0 ? 1 : 0;
-    } else {
-      item.admitted_fraction = std::clamp(target / item.usage.asked_per_s, 0.0, 1.0);
-    }
+    const double admitted = std::max(target, 0.0);
+    // An account that paused while it is in debt asks for nothing, and must not begin with a free
+    // second. Where less than one request may be made, the first one would already be an overrun;
+    // such a share is met by admitting a part of the first requests.
+    item.admitted_fraction = item.usage.asked_per_s > admitted
+                               ? admitted / item.usage.asked_per_s
+                               : std::min(admitted, 1.0);
   }
 }
 
