--- a/src/request/quota_policy.cpp
+++ b/src/request/quota_policy.cpp
@@ -18,9 +18,6 @@
  * no limit. */
 static constexpr double UNLIMITED_SLACK_PART = 0.5;
 
-/** Part of the slack that proxies without limits in force share. */
-static constexpr double OWN_SLACK_PART = 0.5;
-
 static constexpr double MS_PER_S = 1000;
 
 /** Most accounts of which state is kept. Beyond it, the state of all is dropped, which is safe, as
@@ -93,9 +90,9 @@
   const double share_per_ms = account.rate_per_s / proxies / MS_PER_S;
   if (!state.uses_own_share) {
     // Proxies may lose their limits at the same moment. The random start spreads the times at which
-    // their buckets hold a whole request, and lets them use a part of the slack at once.
-    const double slack = OWN_SLACK_PART * limits_->tolerance.slack / proxies;
-    state.tokens = std::uniform_real_distribution<double>(0, 1)(random) + std::min(slack, 1.0);
+    // their buckets hold a whole request. What the account used just before counts in the same
+    // window, so that none of the slack is left for the start.
+    state.tokens = std::uniform_real_distribution<double>(0, 1)(random);
     state.tokens_filled_at = now;
     state.uses_own_share = true;
   }
