--- a/src/process/proxy_node.cpp
+++ b/src/process/proxy_node.cpp
@@ -89,10 +89,10 @@
       self_)
   , started_at_(read_clocks().mono)
   , last_tick_at_(started_at_)
+  , rollouts_({ bounds.exposure_share, bounds.exposure_slack })
   , quotas_(options_.node_id,
             options_.zone,
             { bounds.quota_window_ms, bounds.quota_overage, bounds.quota_slack })
-  , rollouts_({ bounds.exposure_share, bounds.exposure_slack })
   , crash_reminder_random_(self_.boot_id)
   , no_live_peer_since_(started_at_)
 {
--- a/tests/process/peer_test.cpp
+++ b/tests/process/peer_test.cpp
@@ -26,7 +26,7 @@
                std::uint64_t sequence,
                server_state state = server_state::ready)
 {
-  return { instance, "shop", { "10.0.0.9", 80 }, state, 4, 0, instance_started_at, sequence };
+  return { instance, "shop", { "10.0.0.9", 80 }, state, 4, 0, instance_started_at, sequence, {} };
 }
 
 BOOST_AUTO_TEST_SUITE(peer_liveness)
