--- a/src/process/quota_ledger.cpp
+++ b/src/process/quota_ledger.cpp
@@ -290,9 +290,8 @@
     // An account that paused while it is in debt asks for nothing, and must not begin with a free
     // second. Where less than one request may be made, the first one would already be an overrun;
     // such a share is met by admitting a part of the first requests.
-    item.admitted_fraction = item.usage.asked_per_s > admitted
-                               ? admitted / item.usage.asked_per_s
-                               : std::min(admitted, 1.0);
+    item.admitted_fraction = item.usage.asked_per_s > admitted ? admitted / item.usage.asked_per_s
+                                                               : std::min(admitted, 1.0);
   }
 }
 
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -19,6 +19,6 @@
 #include "server_choice_policy.h"         // IWYU pragma: export
 #include "server_limit_policy.h"          // IWYU pragma: export
 #include "slot_policy.h"                  // IWYU pragma: export
-#include "zone_spill_policy.h"            // IWYU pragma: export
 #include "table/failure_response_table.h" // IWYU pragma: export
 #include "upload_intake_policy.h"         // IWYU pragma: export
+#include "zone_spill_policy.h"            // IWYU pragma: export
