Tell the datagrams of quotas and roll-outs apart

All numbers now stand in one table, which the compiler checks. Test: quota_codec, each_datagram_is_taken_for_one_format_only (passes; by the numbers it fails before).

--- a/src/connection/beacon_codec.cpp
+++ b/src/connection/beacon_codec.cpp
@@ -1,5 +1,6 @@
 // Encodes and decodes beacons and directory entries.
 #include "beacon_codec.h"
+#include "datagram_format_type.h"
 #include "json_reader.h"
 
 #include <array>
@@ -14,7 +15,7 @@
  * Version of the format of beacons and directory entries. Other versions are rejected, so that
  * builds do not misread each other's beacons.
  */
-static constexpr std::uint64_t BEACON_FORMAT_VERSION = 2;
+static constexpr std::uint64_t BEACON_FORMAT_VERSION = number_of(datagram_format::beacons);
 
 /** Size limit of the names in a directory entry. A beacon with these names has to fit into a
  * datagram. */
--- a/src/connection/crash_report_codec.cpp
+++ b/src/connection/crash_report_codec.cpp
@@ -1,6 +1,7 @@
 // Encodes and decodes crash records.
 #include "crash_report_codec.h"
 #include "beacon_codec.h"
+#include "datagram_format_type.h"
 #include "json_reader.h"
 
 namespace leaf = boost::leaf;
@@ -11,11 +12,11 @@
 /** Version of the format of crash records. It differs from the versions of beacons, which come
  * first in a datagram as well, so that builds which don't know crash records reject the datagram.
  */
-static constexpr std::uint64_t CRASH_FORMAT_VERSION = 102;
+static constexpr std::uint64_t CRASH_FORMAT_VERSION = number_of(datagram_format::crash_records);
 
 /** The version before, which is still read. It has a flag in place of the finding, which says
  * whether the request is acquitted. */
-static constexpr std::uint64_t CRASH_FORMAT_VERSION_1 = 101;
+static constexpr std::uint64_t CRASH_FORMAT_VERSION_1 = number_of(datagram_format::crash_records_1);
 
 /** Version of the format of rejected requests in the store. */
 static constexpr std::uint64_t STORED_FORMAT_VERSION = 1;
--- a/src/connection/quota_codec.cpp
+++ b/src/connection/quota_codec.cpp
@@ -1,6 +1,7 @@
 // Encodes and decodes messages about quotas.
 #include "quota_codec.h"
 #include "beacon_codec.h"
+#include "datagram_format_type.h"
 #include "frame_codec.h"
 
 #include <algorithm>
@@ -13,8 +14,8 @@
 
 /** Versions of the formats of reports and answers. They differ from those of beacons and of crash
  * records, which come first in a datagram as well. */
-static constexpr std::uint64_t REPORT_FORMAT_VERSION = 111;
-static constexpr std::uint64_t ANSWER_FORMAT_VERSION = 112;
+static constexpr std::uint64_t REPORT_FORMAT_VERSION = number_of(datagram_format::quota_report);
+static constexpr std::uint64_t ANSWER_FORMAT_VERSION = number_of(datagram_format::quota_answer);
 
 /** First byte of a msgpack array whose length has 16 bits. It precedes the format version. */
 static constexpr char MSGPACK_ARRAY_16 = static_cast<char>(0xdc);
--- a/src/connection/rollout_news_codec.cpp
+++ b/src/connection/rollout_news_codec.cpp
@@ -1,6 +1,7 @@
 // Encodes and decodes news of roll-outs.
 #include "rollout_news_codec.h"
 #include "beacon_codec.h"
+#include "datagram_format_type.h"
 #include "json_reader.h"
 
 namespace leaf = boost::leaf;
@@ -10,7 +11,7 @@
 
 /** Version of the format. It differs from the versions of beacons and of crash records, so that
  * builds which don't know roll-outs reject the datagram. */
-static constexpr std::uint64_t ROLLOUT_FORMAT_VERSION = 111;
+static constexpr std::uint64_t ROLLOUT_FORMAT_VERSION = number_of(datagram_format::rollout_news);
 
 /** Position of the format version in a datagram, after the header of the msgpack array. */
 static constexpr std::size_t FORMAT_OFFSET = 3;
--- a/tests/connection/quota_codec_test.cpp
+++ b/tests/connection/quota_codec_test.cpp
@@ -89,6 +89,29 @@
   BOOST_TEST(encode_quota_message(quota_answer{ 1, 0, UINT64_MAX, {} }).size() == 1U);
 }
 
+// Quotas and roll-outs once had the same format number: news of roll-outs were taken for messages
+// about quotas and dropped, so that no proxy but the readers of the store knew an order.
+BOOST_AUTO_TEST_CASE(each_datagram_is_taken_for_one_format_only)
+{
+  rollout_record record;
+  record.order = { "shop", "v2", 1000, 1 };
+  const node_beacon beacon;
+  const std::vector<std::string> datagrams = {
+    encode_crash_records({ { 1, 2, 0 } }, 0).front(),
+    encode_quota_message(quota_report{ quota_scope::zone, "node-1", "zone-1", 1, 1, {} }).front(),
+    encode_quota_message(quota_answer{ 1, 0, UINT64_MAX, {} }).front(),
+    encode_rollout_news({ { "shop", record } }, 0).front(),
+    encode_beacons({ &beacon }).front(),
+  };
+  const std::vector<std::string> expected = { "crash", "quota", "quota", "rollout", "" };
+  for (std::size_t i = 0; i < datagrams.size(); ++i) {
+    std::string taken_for = has_crash_records(datagrams[i]) ? "crash" : "";
+    taken_for += has_quota_message(datagrams[i]) ? "quota" : "";
+    taken_for += has_rollout_news(datagrams[i]) ? "rollout" : "";
+    BOOST_TEST(taken_for == expected[i], "datagram " << i);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(odd_items_are_left_out_and_the_others_hold)
 {
   const json good = json::array({ 7U, 100, 50 });
