--- a/src/request/slot_policy.h
+++ b/src/request/slot_policy.h
@@ -6,11 +6,11 @@
 #include "account_share_policy.h"
 #include "table/failure_response_table.h"
 
-#include <compare>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -139,7 +139,12 @@
     std::size_t band = 0;      ///< Share band of the account.
     mono_ms objective_at = 0;  ///< End of the latency objective.
     slot_ticket id = 0;        ///< The request.
-    std::strong_ordering operator<=>(const queue_key&) const = default;
+    bool operator==(const queue_key&) const = default;
+    bool operator<(const queue_key& other) const
+    {
+      return std::tie(is_new_work, priority, band, objective_at, id) <
+             std::tie(other.is_new_work, other.priority, other.band, other.objective_at, other.id);
+    }
     /** Returns whether the requests with this key start before those with the other key, even if
      * they can no longer meet their objective. */
     bool outranks(const queue_key& other) const
--- a/src/request/zone_spill_policy.h
+++ b/src/request/zone_spill_policy.h
@@ -17,7 +17,11 @@
   service_id service;    ///< Service that the requests go to.
   std::size_t place = 0; ///< Where they may go, as the caller numbers its places.
   bool is_large = false; ///< Whether request and response together are large.
-  auto operator<=>(const spill_route&) const = default;
+  bool operator<(const spill_route& other) const
+  {
+    return std::tie(service, place, is_large) <
+           std::tie(other.service, other.place, other.is_large);
+  }
 };
 
 /** The best server at home and the best one in another place, compared for one request. The scores
