--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 mkdir -p target/review-2
 for case in 6 7 8 10; do
   if [ -f "review/$case/case.cpp" ]; then
-    g++ -std=c++20 -O1 -pthread -I tests/fakes "review/$case/case.cpp" -o "target/review-2/case-$case"
+    g++ -std=c++20 -O1 -pthread "review/$case/case.cpp" -o "target/review-2/case-$case"
   fi
 done
