Move the fixture of the traffic tests where other files can use it

The tests of broken responses need the proxy with a fake server and the fake peer, which proxy_traffic_test.cpp kept to itself.

--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -1,12 +1,8 @@
 // Tests of the traffic thread of a proxy with a fake server and fake callers: a planned stop under
 // load, callers that read slowly, and servers that never stop sending.
-#include "fakes/fake_caller.h"
-#include "fakes/reserved_port.h"
-#include "fakes/scripted_server.h"
-#include "process/node.h"
-#include "process/proxy_traffic_base.h"
+#include "fakes/fake_peer.h"
+#include "fakes/traffic_fixture.h"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <random>
@@ -26,85 +22,6 @@
   return resident * 4096;
 }
 
-/** Returns a complete signed response to the request whose head is given. */
-static std::string
-response_to(const std::string& head, const std::string& body)
-{
-  return "HTTP/1.1 200 OK\r\nX-Shallotfield-Request-Id: " +
-         header_of(head, "X-Shallotfield-Request-Id") +
-         "\r\nX-Shallotfield-Response-Signature: s\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-/** A proxy's traffic thread, with one fake server beside it. */
-struct traffic_fixture
-{
-  explicit traffic_fixture(bool learns_server_limit = false)
-  {
-    options.learns_server_limit = learns_server_limit;
-    options.node_id = "a";
-    options.region = "r";
-    options.zone = "z";
-    options.host = "127.0.0.1";
-    options.service = "shop";
-    options.memory_bytes = 160U << 20U;
-    options.server_address = { "127.0.0.1", server.port() };
-    options.callers_address = { "127.0.0.1", callers_port.number() };
-    options.peers_port = peers_port.number();
-    node_beacon self;
-    self.id = "a";
-    self.boot_id = 1;
-    self.region = "r";
-    self.zone = "z";
-    self.host = "127.0.0.1";
-    self.server = { "shop", "i-1", SLOTS, server_state::ready };
-    traffic = std::make_unique<proxy_traffic>(options, retry_limits{ 0.2, 100, 10'000 }, self);
-    route_document document;
-    document.version = 1;
-    document.rules.push_back(
-      { "read", "h", "/", request_kind::idempotent, 1000, 1, 2000, 2, { { "shop", 1 } } });
-    document.rules.push_back(
-      { "order", "h", "/order/", request_kind::at_most_once, 1000, 1, 2000, 1, { { "shop", 1 } } });
-    document.rules.push_back(
-      { "file", "h", "/file/", request_kind::upload, 1500, 1, 3000, 1, { { "shop", 1 } } });
-    document.services.push_back({ "shop", "" });
-    traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
-    traffic->set_peers(std::make_shared<peer_view>(peer_view{ { "a", self } }));
-    traffic->set_server(self.server, 1);
-    traffic->on_server_crashed = [this](const report_crash& report) {
-      boost::asio::post(context, [this, report] { crashes.push_back(report); });
-    };
-    boost::leaf::try_handle_all([this] { return traffic->start(); },
-                                [] { BOOST_FAIL("the ports can't be opened"); });
-  }
-
-  /** Opens a connection of a caller. */
-  std::shared_ptr<fake_caller> call(bool is_slow = false)
-  {
-    auto added = std::make_shared<fake_caller>(context, record);
-    BOOST_REQUIRE(added->open(options.callers_address.port, is_slow));
-    return added;
-  }
-
-  /** Runs the event loop for a time. */
-  void run_for(std::chrono::milliseconds time)
-  {
-    const auto until = std::chrono::steady_clock::now() + time;
-    run_until(context, [until] { return std::chrono::steady_clock::now() >= until; });
-  }
-
-  static constexpr std::uint32_t SLOTS = 16;
-
-  boost::asio::io_context context;
-  scripted_server server{ context };
-  reserved_port callers_port;
-  reserved_port peers_port;
-  proxy_settings options;
-  std::unique_ptr<proxy_traffic> traffic;
-  caller_record record;
-  std::vector<report_crash> crashes; ///< Reports of crashes of the server.
-};
-
 /** Callers that keep up a load of about 1,000 requests a second. */
 class caller_load
 {
@@ -525,35 +442,6 @@
   BOOST_TEST(server.requests == 0);
 }
 
-/** Another proxy, to which the proxy under test opens a link. */
-struct fake_peer
-{
-  fake_peer(boost::asio::io_context& context, std::uint16_t port)
-    : acceptor(context, { boost::asio::ip::make_address("127.0.0.2"), port })
-    , link(context)
-  {
-    acceptor.async_accept(link, [this](const boost::system::error_code&) { read(); });
-  }
-
-  void read()
-  {
-    link.async_read_some(boost::asio::buffer(buffer),
-                         [this](const boost::system::error_code& error, std::size_t count) {
-                           received.append(buffer.data(), count);
-                           if (!error) {
-                             read();
-                           }
-                         });
-  }
-
-  bool has(const std::string& text) const { return received.find(text) != std::string::npos; }
-
-  boost::asio::ip::tcp::acceptor acceptor;
-  boost::asio::ip::tcp::socket link;
-  std::array<char, 4096> buffer{};
-  std::string received; ///< All bytes that were sent to this proxy.
-};
-
 /** Lets the proxy know one server only, beside a fake peer at 127.0.0.2. */
 static void
 set_single_peer(proxy_traffic& traffic)
