Never take part of a response for all of it when a write failed

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. With an upload under way the writer got that report and deferred the end of the connection to the event loop; the reader, which was next, then found the end of the stream, as after an orderly close. A response without a length is complete at an orderly close.

Change: after a failed write the end of the stream is no orderly close.

A reset after the request was written whole was noticed before.

Why it works: the reader finds the end of the stream after a reset only if somebody else has consumed the error, and write() is the only one who can. The caller gets 502; the request is not sent again unless it may run twice.

--- a/src/connection/byte_stream.cpp
+++ b/src/connection/byte_stream.cpp
@@ -136,7 +136,8 @@
       break;
     }
     if (error) {
-      end(error == asio::error::eof ? stream_close_reason::closed : stream_close_reason::broken);
+      const bool is_orderly = error == asio::error::eof && !has_write_failed_;
+      end(is_orderly ? stream_close_reason::closed : stream_close_reason::broken);
       return;
     }
     total += count;
@@ -259,6 +260,8 @@
       return;
     }
     if (error) {
+      // The kernel reports a broken connection only once. After that, reading finds an orderly end.
+      has_write_failed_ = true;
       // Deferred to the event loop, so that on_end is never called from within send().
       asio::post(socket_.get_executor(),
                  [self = shared_from_this()] { self->end(stream_close_reason::broken); });
--- a/src/connection/byte_stream_base.h
+++ b/src/connection/byte_stream_base.h
@@ -128,6 +128,7 @@
   bool is_waiting_writable_ = false; ///< A wait for space in the kernel's send buffer is pending.
   /** Shut down the sending direction when the send buffer is empty. */
   bool is_closing_after_send_ = false;
+  bool has_write_failed_ = false; ///< The connection broke, and the writer was told so.
   bool has_ended_ = false;
   bool is_aborted_ = false; ///< abort() was called, so on_end is not invoked.
 };
--- a/tests/connection/server_stream_test.cpp
+++ b/tests/connection/server_stream_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace shallotfield;
+using namespace std::chrono_literals;
 
 /** Returns the head of a signed response to a request. */
 static std::string
@@ -25,8 +26,12 @@
     return std::make_shared<server_stream>(context, endpoint{ "127.0.0.1", server.port() }, 500);
   }
 
-  /** Sends a request and waits for its outcome. Returns the body, or `!` with the failure. */
-  std::string ask(const server_stream_ptr& stream, const std::string& id)
+  /** Sends a request and waits for its outcome. Returns the status and the body, or `!` with the
+   * failure. */
+  std::string ask(const server_stream_ptr& stream,
+                  const std::string& id,
+                  const std::string& method = "GET",
+                  const shared_body& body = {})
   {
     std::string result;
     stream->is_mismatched = [id](const response_head& head) {
@@ -40,7 +45,7 @@
     stream->on_failed = [&result](http_client_error error) {
       result = "!" + std::string(enum_name(error));
     };
-    stream->send({ "GET", "/", { { "X-Shallotfield-Request-Id", id } } }, "");
+    stream->send({ method, "/", { { "X-Shallotfield-Request-Id", id } } }, body);
     BOOST_TEST(run_until(context, [&result] { return !result.empty(); }));
     return result;
   }
@@ -155,6 +160,104 @@
   }
 }
 
+/** A body that is longer than the buffers of a connection. */
+static std::string
+long_upload()
+{
+  return std::string(24U << 20U, 'x');
+}
+
+// Guards against part of a response without a length being taken for all of it when the server
+// resets the connection. While an upload is being written, the reset can be reported to the writer
+// only, and the reader sees an orderly end.
+BOOST_AUTO_TEST_CASE(response_without_length_that_is_reset_is_never_complete)
+{
+  const shared_body upload(long_upload());
+  for (const bool is_written : { false, true }) {
+    for (const std::string part : { "", "hel", "hello" }) {
+      for (const auto delay : { 0ms, 50ms }) {
+        server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+          if (!is_written) {
+            to->stop_reading();
+          }
+          to->send(signed_head("r", "") + part);
+          to->reset_later(delay);
+        };
+        const std::string result = ask(open(), "r", "POST", is_written ? shared_body() : upload);
+        BOOST_TEST_CONTEXT("request written " << is_written << ", part " << part << ", reset after "
+                                              << delay.count() << " ms: " << result)
+        {
+          BOOST_TEST(result.starts_with("!"));
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(response_without_length_that_ends_in_order_is_complete)
+{
+  const std::string large(20U << 20U, 'y');
+  const shared_body upload(long_upload());
+  for (const bool is_written : { false, true }) {
+    for (const std::string& body : { std::string(), std::string("hello"), large }) {
+      server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+        to->send(signed_head("r", "") + body);
+        to->end_after_send();
+      };
+      const std::string result = ask(open(), "r", "POST", is_written ? shared_body() : upload);
+      BOOST_TEST_CONTEXT("request written " << is_written << ", body of " << body.size())
+      {
+        BOOST_TEST((result == "200" + body));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(responses_of_each_framing_are_complete)
+{
+  struct framing_row
+  {
+    std::string method;
+    std::string response;
+    std::string expected;
+  };
+  const std::string sized = signed_head("r", "Content-Length: 5\r\n");
+  const std::string large(20U << 20U, 'y');
+  const std::vector<framing_row> rows = {
+    { "GET", sized + "hello", "200hello" },
+    { "HEAD", sized, "200" },
+    { "HEAD", signed_head("r", ""), "200" },
+    { "GET", signed_head("r", "", 204), "204" },
+    { "GET", signed_head("r", "", 304), "304" },
+    { "GET", signed_head("r", "Content-Length: 5\r\n", 304), "304" },
+    { "GET", "HTTP/1.1 100 Continue\r\n\r\n" + sized + "hello", "200hello" },
+    { "GET",
+      "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + sized +
+        "hello",
+      "200hello" },
+    { "GET", signed_head("r", "Content-Length: 5\r\n", 599) + "hello", "599hello" },
+    { "GET",
+      signed_head("r", "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n0\r\n\r\n",
+      "200hello" },
+    // Only lines of the head must not begin with a blank.
+    { "GET", signed_head("r", "Content-Length: 8\r\n") + " a\r\n\tb\r\n", "200 a\r\n\tb\r\n" },
+    { "GET", signed_head("r", "X-Blank:  a \t b \r\nContent-Length: 0\r\n"), "200" },
+    { "GET",
+      signed_head("r", "Content-Length: " + std::to_string(large.size()) + "\r\n") + large,
+      "200" + large },
+  };
+  for (const framing_row& row : rows) {
+    server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+      to->send(row.response);
+    };
+    const std::string result = ask(open(), "r", row.method);
+    BOOST_TEST_CONTEXT(row.method << " " << row.response.substr(0, 200))
+    {
+      BOOST_TEST((result == row.expected), result.substr(0, 200));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(late_copy_of_a_response_never_reaches_the_next_caller)
 {
   // The server sends a second copy of the first response, cut after any number of bytes, once the
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -27,9 +27,12 @@
   {
   }
 
-  /** Starts to read requests, each of which must be without a body. */
+  /** Starts to read requests. A body must not contain an empty line. */
   void read()
   {
+    if (is_reading_stopped_) {
+      return;
+    }
     socket_.async_read_some(boost::asio::buffer(buffer_),
                             [self = shared_from_this()](auto error, std::size_t count) {
                               if (error) {
@@ -75,6 +78,17 @@
     write();
   }
 
+  /** Leaves unread what arrives from now on. Once the buffers are full, the other side can't finish
+   * a long request. */
+  void stop_reading() { is_reading_stopped_ = true; }
+
+  /** Ends the sending direction in an orderly way once everything was sent. Data is still read. */
+  void end_after_send()
+  {
+    is_ending_ = true;
+    write();
+  }
+
   /** Closes the connection. */
   void close()
   {
@@ -82,6 +96,21 @@
     socket_.close(ignored);
   }
 
+  /** Resets the connection. */
+  void reset()
+  {
+    boost::system::error_code ignored; // The connection has ended in any case.
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+  }
+
+  /** Resets the connection after a delay. */
+  void reset_later(std::chrono::milliseconds delay)
+  {
+    auto timer = std::make_shared<boost::asio::steady_timer>(socket_.get_executor(), delay);
+    timer->async_wait([self = shared_from_this(), timer](auto) { self->reset(); });
+  }
+
 private:
   void take_requests()
   {
@@ -104,6 +133,10 @@
     if (to_send_.empty() && is_closing_) {
       close();
     }
+    if (to_send_.empty() && is_ending_) {
+      boost::system::error_code ignored; // The connection has ended in any case.
+      socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
     if (to_send_.empty()) {
       return;
     }
@@ -130,6 +163,8 @@
   std::string endless_;              ///< Block that is sent whenever nothing else is to be sent.
   bool is_writing_ = false;          ///< A write is pending.
   bool is_closing_ = false;          ///< Close once everything was sent.
+  bool is_ending_ = false;           ///< End the sending direction once everything was sent.
+  bool is_reading_stopped_ = false;  ///< Nothing more is read.
 };
 
 using scripted_connection_ptr = std::shared_ptr<scripted_connection>;
--- /dev/null
+++ b/tests/node/broken_response_test.cpp
@@ -0,0 +1,81 @@
+// Tests of what callers get when a server sends a response that is broken.
+#include "fakes/traffic_fixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace shallotfield;
+using namespace std::chrono_literals;
+
+/** A proxy that accepts long uploads. */
+struct broken_response_fixture : traffic_fixture
+{
+  broken_response_fixture()
+  {
+    route_document document;
+    document.version = 2;
+    document.limits.body_bytes_max = 64 << 20;
+    document.rules.push_back(
+      { "read", "h", "/", request_kind::idempotent, 1000, 1, 5000, 2, { { "shop", 1 } } });
+    document.rules.push_back(
+      { "order", "h", "/order/", request_kind::at_most_once, 1000, 1, 5000, 1, { { "shop", 1 } } });
+    document.services.push_back({ "shop", "" });
+    traffic->set_route_table(std::make_shared<const route_table>(std::move(document)));
+  }
+
+  /** Sends a request on a connection of its own, and returns all bytes that the caller gets. */
+  std::string ask(const std::string& method,
+                  const std::string& target,
+                  const std::string& id,
+                  const std::string& body = "")
+  {
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), options.callers_address.port });
+    const std::string request =
+      method + " " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" +
+      "X-Shallotfield-Request-Id: " + id + "\r\nX-Shallotfield-Deadline-Ms: 5000\r\n" +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string received;
+    bool has_ended = false;
+    boost::asio::async_write(caller, boost::asio::buffer(request), [](auto, auto) {});
+    boost::asio::async_read(caller,
+                            boost::asio::dynamic_buffer(received),
+                            [&has_ended](auto, auto) { has_ended = true; });
+    const auto is_ended = [&has_ended] { return has_ended; };
+    BOOST_TEST(run_until(context, is_ended));
+    // The buffers stay until the last handler has run, also if there was no response.
+    caller.close();
+    run_until(context, is_ended);
+    return received;
+  }
+};
+
+/** Checks that a caller got a failure that promises nothing, and nothing of the server's response.
+ */
+static void
+check_is_own_failure(const std::string& received)
+{
+  BOOST_TEST(received.starts_with("HTTP/1.1 502 "), received.substr(0, 300));
+  BOOST_TEST(received.find("HTTP/1.1 ", 1) == std::string::npos);
+  BOOST_TEST(received.find("Signature") == std::string::npos);
+  BOOST_TEST(received.find("hello") == std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_SUITE(broken_responses, broken_response_fixture)
+
+// A server answers a long upload at once, without a length, and resets the connection while the
+// upload is still being written.
+BOOST_AUTO_TEST_CASE(part_of_a_response_to_an_upload_is_no_success)
+{
+  const std::string upload(24U << 20U, 'x');
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+    to->stop_reading();
+    to->send("HTTP/1.1 200 OK\r\nX-Shallotfield-Request-Id: u\r\n"
+             "X-Shallotfield-Response-Signature: s-u\r\n\r\nhello");
+    to->reset_later(50ms);
+  };
+  check_is_own_failure(ask("POST", "/order/x", "u", upload));
+  BOOST_TEST(server.requests == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
