Tell a reset from an orderly end in the HTTP client of Qt threads

What callers saw: found while checking the other readers of responses. A node of our own platform passes requests to its server with http_client. If the server sent a response without a length and reset the connection, at any time, the caller got the part that had arrived as a complete response (MIXED). The same client reads the metadata store and health checks.

Cause: QTcpSocket reports ECONNRESET as RemoteHostClosedError, and has closed its descriptor by the time it does.

Change: http_client keeps a duplicate of the descriptor and reads the state of the connection from the kernel once Qt reports the end. Only an orderly close by the peer completes a response without a length.

Evidence, before the change, with this test: http_client_contract (response_without_length_that_is_reset_is_never_complete) got '=hello' in all 4 cases, reset at once or after 50 ms, request whole or still being written.

Why it works: after the peer's FIN the connection is in CLOSE_WAIT as long as the duplicate is open, after a reset in CLOSE. If the state is not known, the response counts as cut. Orderly ends are still complete, also of 20 MB and while an upload is being written (response_without_length_that_ends_in_order_is_complete, which passed before).

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -17,6 +17,7 @@
   socket_.setReadBufferSize(READ_AHEAD_BYTES);
   QObject::connect(&socket_, &QTcpSocket::connected, &socket_, [this] {
     is_open_ = true;
+    state_reader_.open(static_cast<int>(socket_.socketDescriptor()));
     socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     socket_.write(send_buffer_.data(), static_cast<qint64>(send_buffer_.size()));
     send_buffer_.clear();
@@ -38,9 +39,8 @@
 
 http_client::~http_client()
 {
-  has_ended_ = true;
   socket_.disconnect();
-  socket_.abort();
+  abort();
 }
 
 void
@@ -74,6 +74,7 @@
 http_client::abort()
 {
   has_ended_ = true;
+  state_reader_.close();
   socket_.abort();
 }
 
@@ -124,7 +125,7 @@
     return;
   }
   if (!reader_) {
-    has_ended_ = true;
+    abort();
     if (on_idle_end) {
       on_idle_end();
     }
@@ -135,6 +136,9 @@
   std::optional<http_fault> error;
   response_piece piece =
     reader_->feed({ rest.data(), static_cast<std::size_t>(rest.size()) }, error);
+  if (!error && !piece.is_done && !state_reader_.has_orderly_end()) {
+    error = http_fault::cut;
+  }
   if (!error && !piece.is_done) {
     response_piece last = reader_->feed_end(error);
     piece.is_done = last.is_done;
@@ -145,15 +149,14 @@
   }
   piece.keep_alive = false;
   handle_piece(std::move(piece), error);
-  has_ended_ = true;
+  abort();
 }
 
 void
 http_client::fail(http_client_error reason)
 {
   if (!has_ended_) {
-    has_ended_ = true;
-    socket_.abort();
+    abort();
     on_failed(reason);
   }
 }
--- a/src/connection/http_client_base.h
+++ b/src/connection/http_client_base.h
@@ -1,6 +1,7 @@
 // Client side of an HTTP connection, on a thread with a Qt event loop.
 #pragma once
 #include "http_codec.h"
+#include "tcp_state_reader.h"
 
 #include <QTcpSocket>
 #include <functional>
@@ -77,7 +78,8 @@
   void fail(http_client_error reason);
 
   QTcpSocket socket_;
-  std::string send_buffer_; ///< Request that is sent when the connection is established.
+  tcp_state_reader state_reader_; ///< Tells after the end of the connection how it ended.
+  std::string send_buffer_;       ///< Request that is sent when the connection is established.
   std::unique_ptr<response_reader> reader_; ///< Parser of the expected response; null while idle.
   bool is_open_ = false;                    ///< The connection was established.
   bool has_head_ = false;                   ///< The head of the response has arrived.
--- a/tests/connection/http_test.cpp
+++ b/tests/connection/http_test.cpp
@@ -71,6 +71,69 @@
   BOOST_TEST(failure == "never_sent");
 }
 
+/** Sends a request with a body to a fake server. Returns the body of the response, or `!` with the
+ * failure. */
+static std::string
+ask(const fake_server& server, const std::string& request_body)
+{
+  http_client client({ "127.0.0.1", server.port() }, 1000);
+  std::string body;
+  std::string result;
+  client.on_piece = [&](response_piece&& piece) {
+    body += piece.body;
+    if (piece.is_done) {
+      result = "=" + body;
+    }
+  };
+  client.on_failed = [&](http_client_error reason) {
+    result = "!" + std::string(enum_name(reason));
+  };
+  client.send({ "POST", "/", {} }, request_body);
+  BOOST_TEST(run_until([&] { return !result.empty(); }));
+  return result;
+}
+
+/** A body that is longer than the buffers of a connection. */
+static std::string
+long_upload()
+{
+  return std::string(24U << 20U, 'x');
+}
+
+// Guards against part of a response without a length being taken for all of it. QTcpSocket reports
+// the reset of a connection as its orderly end.
+BOOST_AUTO_TEST_CASE(response_without_length_that_is_reset_is_never_complete)
+{
+  fake_server server;
+  server.given_response = "HTTP/1.1 200 OK\r\n\r\nhello";
+  for (const std::string& body : { std::string(), long_upload() }) {
+    for (const int delay_ms : { 0, 50 }) {
+      BOOST_TEST_CONTEXT("request of " << body.size() << ", reset after " << delay_ms << " ms")
+      {
+        server.behaviour = fake_response::given_then_reset;
+        server.reset_delay_ms = delay_ms;
+        BOOST_TEST(ask(server, body) == "!cut");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(response_without_length_that_ends_in_order_is_complete)
+{
+  const std::string large(20U << 20U, 'y');
+  fake_server server;
+  server.behaviour = fake_response::given_then_end;
+  for (const std::string& request_body : { std::string(), long_upload() }) {
+    for (const std::string& body : { std::string(), std::string("hello"), large }) {
+      server.given_response = "HTTP/1.1 200 OK\r\n\r\n" + body;
+      BOOST_TEST_CONTEXT("request of " << request_body.size() << ", response of " << body.size())
+      {
+        BOOST_TEST((ask(server, request_body) == "=" + body));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(http_messages)
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -9,6 +9,7 @@
 #include <QTimer>
 #include <functional>
 #include <string>
+#include <sys/socket.h>
 
 namespace shallotfield {
 
@@ -19,6 +20,9 @@
   truncated_body,         ///< Sends less than its Content-Length and closes the connection.
   truncated_head,         ///< Sends part of the head and closes the connection.
   close_without_response, ///< Closes the connection without a response.
+  given_then_close,       ///< Sends a given response and closes the connection.
+  given_then_end,         ///< Sends a given response, ends the sending direction and reads nothing.
+  given_then_reset,       ///< Sends a given response and resets the connection.
 };
 
 /**
@@ -29,6 +33,8 @@
 {
 public:
   fake_response behaviour = fake_response::whole; ///< How it responds.
+  std::string given_response;                     ///< What it sends if the test gives it.
+  int reset_delay_ms = 0;                         ///< Time from sending it until the reset.
   int connections = 0;                            ///< Accepted connections.
   int requests = 0;                               ///< Received requests.
 
@@ -64,10 +70,46 @@
         break;
       case fake_response::close_without_response:
         break;
+      case fake_response::given_then_close:
+        socket->write(given_response.data(), static_cast<qint64>(given_response.size()));
+        break;
+      case fake_response::given_then_end:
+        stop_reading(*socket);
+        QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [socket] {
+          if (socket->bytesToWrite() == 0) {
+            ::shutdown(static_cast<int>(socket->socketDescriptor()), SHUT_WR);
+          }
+        });
+        socket->write(given_response.data(), static_cast<qint64>(given_response.size()));
+        return;
+      case fake_response::given_then_reset:
+        stop_reading(*socket);
+        socket->write(given_response.data(), static_cast<qint64>(given_response.size()));
+        socket->flush();
+        QTimer::singleShot(reset_delay_ms, socket, [socket] { reset(*socket); });
+        return;
     }
     socket->disconnectFromHost();
   }
 
+  /** Leaves the rest of a long request unread, so that the client is still writing it. */
+  static void stop_reading(QTcpSocket& socket)
+  {
+    socket.setReadBufferSize(1);
+    socket.disconnect();
+  }
+
+  static void reset(QTcpSocket& socket)
+  {
+    const linger at_once{ 1, 0 };
+    ::setsockopt(static_cast<int>(socket.socketDescriptor()),
+                 SOL_SOCKET,
+                 SO_LINGER,
+                 &at_once,
+                 sizeof(at_once));
+    socket.abort();
+  }
+
   QTcpServer server_; ///< Listens on a free port of the loopback interface.
 };
 
