Reject responses whose status is outside the range 100 to 599

What callers saw: a server in trouble sent a response with the status 000, and the caller got it as an answer ('HTTP/1.1 0 <unknown-status>' with the server's signature and body). With a length it was taken for an interim response and left out, so that the caller waited for the rest of its time.

Cause: the parser accepts any three digits as a status, and nothing after it looked at the range.

Change: response_reader, which all readers of HTTP responses in the proxy share, rejects a head whose status HTTP does not define (RFC 9110, section 15).

Why it works: the response is malformed for its reader, as other bytes that are not HTTP are. The caller gets 502 without the server's signature; a request that may run twice goes to another server, within the limits of retries (only_requests_that_may_run_twice_go_to_another_server).

--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -187,6 +187,16 @@
          });
 }
 
+/** Returns whether a status is within the range that HTTP defines (RFC 9110, section 15). The
+ * parser accepts any three digits. */
+bool
+is_valid_status(unsigned status)
+{
+  static constexpr unsigned STATUS_MIN = 100;
+  static constexpr unsigned STATUS_MAX = 599;
+  return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 /** Formats the end-to-end headers, one per line. */
 void
 append_headers(std::string& bytes, const std::vector<http_header>& headers)
@@ -338,7 +348,7 @@
 {
   response_piece piece;
   if (from.parser.is_header_done() && !from.is_head_delivered) {
-    if (is_combined_head(from.parser.get())) {
+    if (!is_valid_status(from.parser.get().result_int()) || is_combined_head(from.parser.get())) {
       error = http_fault::malformed;
       return piece;
     }
--- a/tests/connection/http_test.cpp
+++ b/tests/connection/http_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the HTTP client against a fake server, and of the HTTP parsers.
 #include "connection/connection.h"
+#include "fakes/broken_responses.h"
 #include "fakes/fake_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -134,6 +135,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(response_that_is_not_http_is_reported_as_malformed)
+{
+  fake_server server;
+  server.behaviour = fake_response::given_then_close;
+  for (const std::string& head : broken_response_heads("r")) {
+    server.given_response = head + "\r\nhello";
+    BOOST_TEST_CONTEXT(head)
+    {
+      BOOST_TEST(ask(server, "") == "!malformed");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(http_messages)
@@ -244,4 +258,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(response_that_is_not_http_is_rejected_with_any_fragmentation)
+{
+  for (const std::string& head : broken_response_heads("r")) {
+    const std::string bytes = head + "\r\nhello";
+    for (const std::size_t piece : { std::size_t{ 1 }, std::size_t{ 5 }, bytes.size() }) {
+      response_reader reader(false);
+      std::optional<http_fault> error;
+      for (std::size_t at = 0; at < bytes.size() && !error; at += piece) {
+        reader.feed(bytes.substr(at, piece), error);
+      }
+      BOOST_TEST_CONTEXT(head << " in pieces of " << piece)
+      {
+        BOOST_TEST((error == http_fault::malformed));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/connection/server_stream_test.cpp
+++ b/tests/connection/server_stream_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the connection to the backend server against servers that send too much, too late or
 // never.
 #include "connection/connection.h"
+#include "fakes/broken_responses.h"
 #include "fakes/scripted_server.h"
 #include "platform/platform.h"
 
@@ -258,6 +259,24 @@
   }
 }
 
+// Guards against a response that is not HTTP being passed on.
+BOOST_AUTO_TEST_CASE(response_that_is_not_http_is_never_complete)
+{
+  for (const std::string& head : broken_response_heads("r")) {
+    for (const std::string framing : { "Content-Length: 5\r\n", "Content-Length: 0\r\n", "" }) {
+      server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+        to->send(head + framing + "\r\n" + (framing.find('0') == std::string::npos ? "hello" : ""));
+        to->end_after_send();
+      };
+      const std::string result = ask(open(), "r");
+      BOOST_TEST_CONTEXT(head << framing << ": " << result)
+      {
+        BOOST_TEST(result.starts_with("!"));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(late_copy_of_a_response_never_reaches_the_next_caller)
 {
   // The server sends a second copy of the first response, cut after any number of bytes, once the
--- a/tests/node/broken_response_test.cpp
+++ b/tests/node/broken_response_test.cpp
@@ -1,4 +1,6 @@
 // Tests of what callers get when a server sends a response that is broken.
+#include "fakes/broken_responses.h"
+#include "fakes/fake_peer.h"
 #include "fakes/traffic_fixture.h"
 
 #include <boost/asio/read.hpp>
@@ -58,6 +60,7 @@
   BOOST_TEST(received.starts_with("HTTP/1.1 502 "), received.substr(0, 300));
   BOOST_TEST(received.find("HTTP/1.1 ", 1) == std::string::npos);
   BOOST_TEST(received.find("Signature") == std::string::npos);
+  BOOST_TEST(received.find("Odd") == std::string::npos);
   BOOST_TEST(received.find("hello") == std::string::npos);
 }
 
@@ -78,4 +81,66 @@
   BOOST_TEST(server.requests == 1);
 }
 
+BOOST_AUTO_TEST_CASE(response_that_is_not_http_is_no_answer)
+{
+  std::string response;
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string&) {
+    to->send(response);
+    to->end_after_send();
+  };
+  for (const std::string& head : broken_response_heads("r")) {
+    for (const std::string framing : { "Content-Length: 5\r\n", "" }) {
+      response = head + framing + "\r\nhello";
+      BOOST_TEST_CONTEXT(response)
+      {
+        check_is_own_failure(ask("POST", "/order/x", "r"));
+      }
+    }
+  }
+}
+
+// Each request that reached the server whose responses are broken is answered by the other one, if
+// it may run twice, and fails otherwise.
+BOOST_AUTO_TEST_CASE(only_requests_that_may_run_twice_go_to_another_server)
+{
+  static constexpr int REQUESTS = 20;
+  fake_peer peer(context, options.peers_port);
+  int peer_requests = 0;
+  peer.on_call = [&](const call_open& call) {
+    ++peer_requests;
+    peer.answer(call, "fine");
+  };
+  node_beacon self;
+  self.id = "a";
+  self.zone = "z";
+  self.server = { "shop", "i-1", SLOTS, server_state::ready };
+  node_beacon other = self;
+  other.id = "b";
+  other.host = "127.0.0.2";
+  other.server.instance = "i-2";
+  traffic->set_peers(std::make_shared<peer_view>(peer_view{ { "a", self }, { "b", other } }));
+  server.on_request = [&](const scripted_connection_ptr& to, const std::string& head) {
+    const std::string id = header_of(head, "X-Shallotfield-Request-Id");
+    to->send(broken_response_heads(id).front() + "\r\nhello");
+    to->end_after_send();
+  };
+  for (int i = 0; i < REQUESTS; ++i) {
+    BOOST_TEST(ask("GET", "/x", "r" + std::to_string(i)).ends_with("\r\n\r\nfine"));
+  }
+  BOOST_TEST(server.requests > 0);
+  BOOST_TEST(peer_requests == REQUESTS);
+  server.requests = 0;
+  peer_requests = 0;
+  for (int i = 0; i < REQUESTS; ++i) {
+    const int before = server.requests;
+    const std::string received = ask("POST", "/order/x", "o" + std::to_string(i));
+    if (server.requests > before) {
+      check_is_own_failure(received);
+    } else {
+      BOOST_TEST(received.ends_with("\r\n\r\nfine"));
+    }
+  }
+  BOOST_TEST(server.requests + peer_requests == REQUESTS);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
