Reject responses whose head has a line that begins with a blank

What callers saw: a server in trouble sent a response in whose head the name of a field began with a blank or a tab. The caller got it as an answer, with that line at the end of another header's value, the server's signature among them; or, if the field was the length, with a body that ended with the connection rather than with its length.

Cause: the parser takes such a line for the rest of the header before it, which older versions of HTTP allowed (obs-fold).

Change: response_reader rejects a head with such a line, as RFC 9112 (section 5.2) allows a proxy to. Names with a blank elsewhere or with a control byte were rejected by the parser already; their tests stay.

Why it works: the lines are looked at as they arrive, before the parser joins them, and only until the empty line that ends the head; bodies and values with blanks are unaffected (responses_of_each_framing_are_complete).

--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -197,6 +197,36 @@
   return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+/**
+ * Finds lines in the head of a response that begin with a blank. The parser takes such a line for
+ * the rest of the header before it (obs-fold in RFC 9112), so that a length with a blank before its
+ * name would not count, and its text would be passed on within another header.
+ */
+class folded_line_finder
+{
+public:
+  /** Processes received data, of which only lines of the head count. Returns whether one of them
+   * begins with a blank. */
+  bool feed(std::string_view bytes)
+  {
+    for (auto at = bytes.begin(); is_in_head_ && at != bytes.end(); ++at) {
+      if (*at == '\n') {
+        is_in_head_ = !is_line_empty_;
+        is_line_empty_ = true;
+      } else if (is_line_empty_ && (*at == ' ' || *at == '\t')) {
+        return true;
+      } else if (*at != '\r') {
+        is_line_empty_ = false;
+      }
+    }
+    return false;
+  }
+
+private:
+  bool is_in_head_ = true;    ///< The empty line that ends the head has not arrived.
+  bool is_line_empty_ = true; ///< The current line has no character yet.
+};
+
 /** Formats the end-to-end headers, one per line. */
 void
 append_headers(std::string& bytes, const std::vector<http_header>& headers)
@@ -325,6 +355,7 @@
 struct response_reader::parser_state
 {
   http::response_parser<piece_body> parser;
+  folded_line_finder folded_lines;
   bool is_head_delivered = false; ///< The head was returned to the caller.
 };
 
@@ -367,6 +398,10 @@
 response_piece
 response_reader::feed(std::string_view bytes, std::optional<http_fault>& error)
 {
+  if (parser_->folded_lines.feed(bytes)) {
+    error = http_fault::malformed;
+    return {};
+  }
   if (!put_received(parser_->parser, buffered_, bytes, error)) {
     return {};
   }
