Test the other readers of responses with broken ones

The log service's client and the operators' commands use QNetworkAccessManager, which accepts names with odd bytes; both use nothing of a response but its status and its body, which has to be one whole JSON document.

--- a/tests/node/proxy_node_test.cpp
+++ b/tests/node/proxy_node_test.cpp
@@ -235,6 +235,7 @@
   std::string instance;      ///< Its instance id.
   std::string endless_start; ///< If set, it answers with this and then bytes without end.
   qint64 endless_bytes = 0;  ///< Bytes that the proxy has taken of such answers.
+  std::string odd_header;    ///< Line that it puts into the head of its answers.
 
   fake_announcer()
   {
@@ -255,9 +256,10 @@
           socket->write(endless_start.data(), static_cast<qint64>(endless_start.size()));
           return;
         }
-        const std::string response =
-          std::string("HTTP/1.1 ") + (is_healthy ? "200 OK" : "503 Service Unavailable") +
-          "\r\nX-Shallotfield-Instance-Id: " + instance + "\r\nContent-Length: 0\r\n\r\n";
+        const std::string response = std::string("HTTP/1.1 ") +
+                                     (is_healthy ? "200 OK" : "503 Service Unavailable") +
+                                     "\r\nX-Shallotfield-Instance-Id: " + instance + "\r\n" +
+                                     odd_header + "Content-Length: 0\r\n\r\n";
         socket->write(response.data(), static_cast<qint64>(response.size()));
       });
     });
@@ -341,6 +343,28 @@
   BOOST_TEST(run_until([&] { return peer.server.instance == "i-2"; }));
 }
 
+// Guards against a server that is used because of a response to a health check that is not HTTP.
+BOOST_AUTO_TEST_CASE(broken_response_to_a_health_check_confirms_no_server)
+{
+  store.operator_page = operator_page_with_shop();
+  fake_announcer server;
+  server.instance = "i-1";
+  options.server_address = server.address();
+  options.is_first_start = false;
+  start();
+  fake_peer peer("127.0.0.2", static_cast<std::uint16_t>(options.peers_port + 1));
+  peer.send_beacon(1);
+  BOOST_TEST(run_until([&] { return peer.config_version == 7; }));
+  server.announce(options.announcements_address, "i-1", "heartbeat", server.heartbeat(1000, 9));
+  for (const char* odd_header : { " X-Odd: 1\r\n", "X-Odd : 1\r\n", "X-\x01Odd: 1\r\n" }) {
+    server.odd_header = odd_header;
+    run_for(1200);
+    BOOST_TEST((peer.server.state == server_state::none), odd_header);
+  }
+  server.odd_header.clear();
+  BOOST_TEST(run_until([&] { return peer.server.instance == "i-1"; }));
+}
+
 // Guards against a server that deregistered at the former process of the proxy and is in use again
 // through a late heartbeat, while its successor has to get work at once.
 BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_brings_no_server_back)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the platform adapter: formats, headers and rejection of invalid input.
+#include "fakes/broken_responses.h"
 #include "fakes/expect.h"
+#include "fakes/fake_server.h"
 #include "platform/platform.h"
 
 #include <boost/test/unit_test.hpp>
@@ -346,6 +348,49 @@
              "/v1/log-newest?topic=keyed.nodes&part=0&after=a%20b");
 }
 
+/** Makes one call of each kind to a store and returns the results. */
+static std::vector<store_response>
+call_store(const fake_server& store)
+{
+  static constexpr std::int64_t TIMEOUT_MS = 2000;
+  store_client client({ "127.0.0.1", store.port() });
+  std::vector<store_response> results;
+  const auto keep = [&results](store_response result) { results.push_back(std::move(result)); };
+  client.read_newest(store_topic::nodes, "", TIMEOUT_MS, keep);
+  client.read_tail(store_topic::nodes, 0, 0, TIMEOUT_MS, keep);
+  client.append(store_topic::nodes, { "node-1", "value" }, TIMEOUT_MS, keep);
+  BOOST_TEST(run_until([&results] { return results.size() == 3; }));
+  return results;
+}
+
+/** Checks that each call failed in the same way. */
+static void
+check_faults(const std::vector<store_response>& results, store_fault expected)
+{
+  for (const store_response& result : results) {
+    const auto* fault = std::get_if<store_fault>(&result);
+    BOOST_TEST((fault != nullptr && *fault == expected));
+  }
+}
+
+// Guards against a response of the store that is not HTTP, or was cut by a reset, being taken for a
+// page, for records or for the result of a call.
+BOOST_AUTO_TEST_CASE(broken_store_responses_are_faults)
+{
+  fake_server store;
+  store.behaviour = fake_response::given_then_close;
+  for (const std::string& head : broken_response_heads("r")) {
+    store.given_response = head + "\r\n" + R"({"items":[],"has_more":false,"end":1})";
+    BOOST_TEST_CONTEXT(head)
+    {
+      check_faults(call_store(store), store_fault::malformed);
+    }
+  }
+  store.behaviour = fake_response::given_then_reset;
+  store.given_response = "HTTP/1.1 200 OK\r\n\r\n" + std::string(16, '\0');
+  check_faults(call_store(store), store_fault::no_response);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(platform_environment)
