--- a/tests/fakes/traffic_fixture.h
+++ b/tests/fakes/traffic_fixture.h
@@ -71,6 +71,20 @@
     return added;
   }
 
+  /** Sends a request to the proxy as another proxy does. Returns the start of the reply. */
+  std::string send_as_peer(const call_open& call)
+  {
+    boost::asio::ip::tcp::socket link(context);
+    link.connect({ boost::asio::ip::make_address("127.0.0.1"), options.peers_port });
+    boost::asio::write(link, boost::asio::buffer(encode_traffic(call)));
+    std::array<char, 1024> buffer{};
+    std::string reply;
+    link.async_read_some(boost::asio::buffer(buffer),
+                         [&](auto, std::size_t count) { reply.assign(buffer.data(), count); });
+    BOOST_TEST(run_until(context, [&] { return !reply.empty(); }));
+    return reply;
+  }
+
   /** Runs the event loop for a time. */
   void run_for(std::chrono::milliseconds time)
   {
--- a/tests/node/broken_response_test.cpp
+++ b/tests/node/broken_response_test.cpp
@@ -143,4 +143,22 @@
   BOOST_TEST(server.requests + peer_requests == REQUESTS);
 }
 
+BOOST_AUTO_TEST_CASE(broken_response_to_another_proxy_is_an_unknown_outcome)
+{
+  server.on_request = [](const scripted_connection_ptr& to, const std::string&) {
+    to->send(heads_with_odd_status("r").front() + "\r\nhello");
+    to->end_after_send();
+  };
+  call_open call;
+  call.id = 1;
+  call.head = { "GET", "/x", { { "Host", "h" }, { "X-Shallotfield-Request-Id", "r" } } };
+  call.service = "shop";
+  call.timeout_ms = 2000;
+  call.objective_ms = 1000;
+  const std::string reply = send_as_peer(call);
+  BOOST_TEST(reply.find(enum_name(failure_reason::response_truncated)) != std::string::npos);
+  BOOST_TEST(reply.find(enum_name(outcome::unknown)) != std::string::npos);
+  BOOST_TEST(reply.find("hello") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/proxy_traffic_test.cpp
+++ b/tests/node/proxy_traffic_test.cpp
@@ -378,14 +378,7 @@
   call.caller_service = "other";
   call.timeout_ms = 2000;
   call.objective_ms = 1000;
-  boost::asio::ip::tcp::socket link(context);
-  link.connect({ boost::asio::ip::make_address("127.0.0.1"), options.peers_port });
-  boost::asio::write(link, boost::asio::buffer(encode_traffic(call)));
-  std::array<char, 1024> buffer{};
-  std::string reply;
-  link.async_read_some(boost::asio::buffer(buffer),
-                       [&](auto, std::size_t count) { reply.assign(buffer.data(), count); });
-  BOOST_TEST(run_until(context, [&] { return !reply.empty(); }));
+  const std::string reply = send_as_peer(call);
   BOOST_TEST(reply.find("crashes_servers") != std::string::npos);
   BOOST_TEST(server.requests == 0);
 }
