--- a/review/faulty_server.h
+++ b/review/faulty_server.h
@@ -10,10 +10,10 @@
 struct run_log
 {
   std::mutex mutex;
-  std::map<std::string, std::vector<std::string>> runs;       ///< Servers that ran it, by id.
-  std::map<std::string, std::vector<int>> answers;            ///< Statuses that they gave, by id.
-  std::map<std::string, std::vector<std::string>> disturbed;  ///< Additional bytes came before its
-                                                              ///< answer, by id: at which server.
+  std::map<std::string, std::vector<std::string>> runs;      ///< Servers that ran it, by id.
+  std::map<std::string, std::vector<int>> answers;           ///< Statuses that they gave, by id.
+  std::map<std::string, std::vector<std::string>> disturbed; ///< Additional bytes came before its
+                                                             ///< answer, by id: at which server.
 
   void add_run(const std::string& id, const std::string& server)
   {
@@ -156,9 +156,8 @@
     if (owes_bytes) {
       owes_bytes = false;
       log_.add_disturbed(id, instance_);
-      record("server %s writes the additional bytes, while it runs %s",
-             instance_.c_str(),
-             id.c_str());
+      record(
+        "server %s writes the additional bytes, while it runs %s", instance_.c_str(), id.c_str());
       send_all(fd, additional_bytes);
     }
     const std::int64_t until = now_ms() + work_ms(request);
@@ -174,11 +173,8 @@
     }
     log_.add_answer(id, 200);
     record("server %s answers %s with 200", instance_.c_str(), id.c_str());
-    const bool is_sent = respond(fd,
-                                 id,
-                                 "200 OK",
-                                 "X-Shallotfield-Response-Signature: sig-" + id + "\r\n",
-                                 "done " + id);
+    const bool is_sent = respond(
+      fd, id, "200 OK", "X-Shallotfield-Response-Signature: sig-" + id + "\r\n", "done " + id);
     owes_bytes = is_sent && spoils_next && spoils_next();
     return is_sent;
   }
--- a/review/second_answer.cpp
+++ b/review/second_answer.cpp
@@ -49,8 +49,8 @@
     const std::string id = new_request_id();
     http_message response;
     const bool is_answered =
-      connection.send(
-        format_request("POST", "/orders/new", "shop.example", id, ORDER_DEADLINE_MS, "one piece")) &&
+      connection.send(format_request(
+        "POST", "/orders/new", "shop.example", id, ORDER_DEADLINE_MS, "one piece")) &&
       connection.read(response, ORDER_DEADLINE_MS + 1000) == read_result::complete;
     const int status = is_answered ? response.status() : 0;
     {
@@ -116,14 +116,21 @@
 {
   const bool is_refusal = argc > 1 && std::strcmp(argv[1], "refusal") == 0;
   deployment world;
-  if (!world.create({ "catalogue", "orders", "catalogue", "orders", "catalogue", "orders", "catalogue",
+  if (!world.create({ "catalogue",
+                      "orders",
+                      "catalogue",
+                      "orders",
+                      "catalogue",
+                      "orders",
+                      "catalogue",
                       "orders" })) {
     return EXIT_NOT_RUN;
   }
-  world.publish(format_config(7,
-                              { { "shop.example", "puzzle-lookup", "safe", "/lookups/", "catalogue" },
-                                { "shop.example", "piece-order", "unsafe", "/orders/", "orders" } },
-                              { "catalogue", "orders" }));
+  world.publish(
+    format_config(7,
+                  { { "shop.example", "puzzle-lookup", "safe", "/lookups/", "catalogue" },
+                    { "shop.example", "piece-order", "unsafe", "/orders/", "orders" } },
+                  { "catalogue", "orders" }));
   // The servers of this case take the place of those of the harness.
   run_log log;
   std::vector<std::unique_ptr<faulty_server>> servers;
@@ -160,7 +167,8 @@
   const std::int64_t until = now_ms() + TRAFFIC_MS;
   std::vector<std::thread> clients;
   for (int i = 0; i < CLIENTS; ++i) {
-    const std::string ip = world.proxies[static_cast<std::size_t>(i) % world.proxies.size()]->at().ip;
+    const std::string ip =
+      world.proxies[static_cast<std::size_t>(i) % world.proxies.size()]->at().ip;
     clients.emplace_back([ip, until, &seen] { send_orders(ip, until, seen); });
   }
   for (std::thread& item : clients) {
@@ -175,7 +183,8 @@
          seen.status.size(),
          served,
          log.disturbed.size());
-  const int broken = is_refusal ? count_broken_promises(log, seen) : count_foreign_answers(log, seen);
+  const int broken =
+    is_refusal ? count_broken_promises(log, seen) : count_foreign_answers(log, seen);
   world.stop();
   for (const auto& server : servers) {
     server->end();
--- a/review/slow_reader.cpp
+++ b/review/slow_reader.cpp
@@ -55,10 +55,9 @@
   bool is_open = true;
   for (std::size_t i = 0; i < ids.size(); ++i) {
     const std::int64_t left = sent_at + DEADLINE_MS - now_ms();
-    is_open = is_open && connection.read(response, std::max<std::int64_t>(left, 1)) ==
-                           read_result::complete;
-    const bool is_answered =
-      is_open && response.header("x-shallotfield-request-id") == ids[i];
+    is_open = is_open &&
+              connection.read(response, std::max<std::int64_t>(left, 1)) == read_result::complete;
+    const bool is_answered = is_open && response.header("x-shallotfield-request-id") == ids[i];
     answered += is_answered ? 1 : 0;
     {
       const std::lock_guard lock(seen.mutex);
@@ -115,7 +114,8 @@
   outcomes seen;
   std::vector<std::thread> clients;
   for (int i = 0; i < CLIENTS; ++i) {
-    const std::string ip = world.proxies[static_cast<std::size_t>(i) % world.proxies.size()]->at().ip;
+    const std::string ip =
+      world.proxies[static_cast<std::size_t>(i) % world.proxies.size()]->at().ip;
     clients.emplace_back([ip, &seen] { send_batch(ip, seen); });
   }
   for (std::thread& item : clients) {
--- a/review/smuggled_request.cpp
+++ b/review/smuggled_request.cpp
@@ -81,10 +81,11 @@
   if (!world.create({ "catalogue", "orders", "catalogue", "orders" })) {
     return EXIT_NOT_RUN;
   }
-  world.publish(format_config(7,
-                              { { "shop.example", "puzzle-lookup", "safe", "/lookups/", "catalogue" },
-                                { "shop.example", "piece-order", "unsafe", "/orders/", "orders" } },
-                              { "catalogue", "orders" }));
+  world.publish(
+    format_config(7,
+                  { { "shop.example", "puzzle-lookup", "safe", "/lookups/", "catalogue" },
+                    { "shop.example", "piece-order", "unsafe", "/orders/", "orders" } },
+                  { "catalogue", "orders" }));
   run_log log;
   for (const auto& server : world.servers) {
     server->on_run = [&log, &server](const http_message& request, std::int64_t& work_ms) {
